--- /dev/null
+++ b/crates/core/src/admission.rs
@@ -0,0 +1,535 @@
+/*!
+Which requests an entry takes, which wait, and which it refuses early as *not run*.
+
+Each profile and each kind has a limit of requests at the entry, so that a flood of one cannot starve another. Each
+service has an adaptive limit of requests in flight to its endpoints, and a bounded queue before it, ordered by deadline.
+A request whose answer could not come in time is refused at once, with an estimate of when to come again, so that the
+endpoints work only on requests that can still be answered.
+
+```
+use fescuelead_core::{
+    admission::{Admission, AdmissionSettings, Ended, LaneSettings, Offer},
+    balance::TimeUs,
+    ids::{ProfileName, ServiceName},
+    profile::Kind,
+};
+
+let mut admission = Admission::new(AdmissionSettings::default());
+let profile = ProfileName::new("store-preview")?;
+let lane = admission.set_lane(&ServiceName::new("previews")?, &LaneSettings::new(profile, Kind::LatencyCritical));
+admission.set_slots(lane, 80);
+let Ok(Offer::Run(pass)) = admission.offer(lane, TimeUs(2_000_000), TimeUs(0)) else { panic!("all is free") };
+admission.finish(pass, Ended::Answered { took_us: 20_000 }, TimeUs(20_000));
+assert!(admission.next(lane, TimeUs(20_000)).is_none(), "nothing waits");
+# Ok::<(), fescuelead_core::ids::IdError>(())
+```
+*/
+
+mod lane;
+mod limit;
+
+use std::collections::HashMap;
+
+use slotmap::{SlotMap, new_key_type};
+
+use self::lane::{Lane, Waiting};
+use crate::{
+    balance::{
+        TimeUs,
+        permit::{Guard, InFlight},
+    },
+    ids::{ProfileName, ServiceName},
+    profile::{Kind, Profile},
+};
+
+/// How long a queue pauses at most after no endpoint had room.
+const PAUSE_US: u64 = 2_000;
+
+new_key_type! {
+    /// Points to a service in an [`Admission`].
+    pub struct LaneKey;
+}
+
+/// Limits of an entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdmissionSettings {
+    /// Latency-critical requests at the entry at one time, running and waiting.
+    pub latency_critical: u32,
+    /// The same for requests of batch profiles.
+    pub batch: u32,
+    /// The same for requests of long-running profiles.
+    pub long_running: u32,
+    /// Requests of one service that may wait.
+    pub max_waiting: usize,
+    /// The share of its spare time that a request may spend waiting, in percent. The spare time is the time to its
+    /// deadline less the time that an answer takes.
+    pub wait_percent: u32,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self { latency_critical: 8_192, batch: 2_048, long_running: 2_048, max_waiting: 1_024, wait_percent: 25 }
+    }
+}
+
+impl AdmissionSettings {
+    /// Sets the share of its spare time that a request may spend waiting.
+    pub fn with_wait_percent(self, wait_percent: u32) -> Self {
+        Self { wait_percent, ..self }
+    }
+
+    /// Sets the limits of the three kinds.
+    pub fn with_kinds(self, latency_critical: u32, batch: u32, long_running: u32) -> Self {
+        Self { latency_critical, batch, long_running, ..self }
+    }
+
+    fn of_kind(&self, kind: Kind) -> u32 {
+        match kind {
+            Kind::LatencyCritical => self.latency_critical,
+            Kind::Batch => self.batch,
+            Kind::LongRunning => self.long_running,
+        }
+    }
+}
+
+/// What admission needs to know of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LaneSettings {
+    /// The profile that the service picked.
+    pub profile: ProfileName,
+    /// The kind of the profile.
+    pub kind: Kind,
+    /// Requests of the profile at the entry at one time.
+    pub max_in_flight: u32,
+}
+
+impl LaneSettings {
+    /// A service of a profile with the default limit.
+    pub fn new(profile: ProfileName, kind: Kind) -> Self {
+        Self { profile, kind, max_in_flight: 1_024 }
+    }
+
+    /// A service that picked `profile`.
+    pub fn of(name: ProfileName, profile: &Profile) -> Self {
+        Self { profile: name, kind: profile.kind, max_in_flight: profile.max_in_flight }
+    }
+
+    /// Sets the limit of the profile.
+    pub fn with_max_in_flight(self, max_in_flight: u32) -> Self {
+        Self { max_in_flight, ..self }
+    }
+}
+
+/// A request that waits in the queue of its service, ordered by deadline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WaitKey {
+    deadline: TimeUs,
+    sequence: u64,
+}
+
+/// Places at the entry that a request holds from its arrival to its end.
+#[derive(Debug)]
+struct Presence {
+    _kind: Guard,
+    _profile: Guard,
+}
+
+/// The right to send a request to an endpoint. Dropping it gives all places back; ending it through
+/// [`Admission::finish`] also teaches the limit.
+#[derive(Debug)]
+#[must_use = "a pass holds a place until it is finished or dropped"]
+pub struct Pass {
+    lane: LaneKey,
+    presence: Presence,
+    _running: Guard,
+}
+
+impl Pass {
+    /// The service.
+    pub fn lane(&self) -> LaneKey {
+        self.lane
+    }
+}
+
+/// What becomes of a request that was not refused.
+#[derive(Debug)]
+pub enum Offer {
+    /// Send it now.
+    Run(Pass),
+    /// Keep it until [`Admission::next`] names the key.
+    Wait(WaitKey),
+}
+
+/// What becomes of a request that waited.
+#[derive(Debug)]
+pub enum Next {
+    /// Send it now.
+    Run(WaitKey, Pass),
+    /// Refuse it as *not run*.
+    Refuse(WaitKey, Refusal),
+}
+
+/// How a request that was sent ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// An answer came.
+    Answered {
+        /// From the time at which it was let through to the answer.
+        took_us: u64,
+    },
+    /// No answer came, for whatever reason.
+    Failed,
+}
+
+/// Says why a request was refused and when to come again. The request did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// The reason.
+    pub reason: Reason,
+    /// An estimate for `Retry-After`, at least 1. Callers that are refused together get different times, so that they do
+    /// not come back together.
+    pub retry_after_ms: u64,
+}
+
+/// Why a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, thiserror::Error)]
+pub enum Reason {
+    /// The service is not known.
+    #[error("the service has no profile; publish one that names it")]
+    UnknownService,
+    /// The limit of the kind is reached.
+    #[error("the entry has as many requests of this kind as it takes; send the request later")]
+    KindLimit,
+    /// The limit of the profile is reached.
+    #[error("the entry has as many requests of this profile as `max_in_flight` allows; send the request later")]
+    ProfileLimit,
+    /// The queue of the service is full.
+    #[error("the queue of the service is full; send the request later")]
+    QueueFull,
+    /// The answer could not come in time.
+    #[error("the answer could not come before the deadline; give the request more time or send it later")]
+    TooLate,
+}
+
+#[derive(Debug, Default)]
+struct ProfileState {
+    in_flight: InFlight,
+    limit: u32,
+}
+
+/// Admission at one entry. Calls take constant time but for a binary search of the queue and an insertion into it.
+#[derive(Debug)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    kinds: [InFlight; 3],
+    profiles: HashMap<ProfileName, ProfileState>,
+    lanes: SlotMap<LaneKey, Lane>,
+    names: HashMap<ServiceName, LaneKey>,
+    sequence: u64,
+    refusals: u64,
+}
+
+impl Admission {
+    /// An entry without services.
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            settings,
+            kinds: Default::default(),
+            profiles: HashMap::new(),
+            lanes: SlotMap::with_key(),
+            names: HashMap::new(),
+            sequence: 0,
+            refusals: 0,
+        }
+    }
+
+    /// Adds a service or changes its profile. Requests that are at the entry keep their places.
+    pub fn set_lane(&mut self, service: &ServiceName, settings: &LaneSettings) -> LaneKey {
+        let profile = self.profiles.entry(settings.profile.clone()).or_default();
+        profile.limit = settings.max_in_flight;
+        let in_flight = profile.in_flight.clone();
+        if let Some(key) = self.names.get(service).copied()
+            && let Some(lane) = self.lanes.get_mut(key)
+        {
+            lane.set_profile(settings.kind, in_flight, settings.max_in_flight);
+            return key;
+        }
+        let key = self.lanes.insert(Lane::new(settings.kind, in_flight, settings.max_in_flight));
+        self.names.insert(service.clone(), key);
+        key
+    }
+
+    /// The service with this name.
+    pub fn lane(&self, service: &ServiceName) -> Option<LaneKey> {
+        self.names.get(service).copied()
+    }
+
+    /// Removes a service and names the requests that still wait; they are to be refused as *not run*.
+    pub fn remove_lane(&mut self, service: &ServiceName) -> Vec<WaitKey> {
+        let lane = self.names.remove(service).and_then(|key| self.lanes.remove(key));
+        lane.map_or_else(Vec::new, Lane::into_waiting)
+    }
+
+    /// Tells how many requests the active endpoints of a service take at one time, slots and waiting rooms together. The
+    /// adaptive limit never exceeds it.
+    pub fn set_slots(&mut self, lane: LaneKey, slots: u32) {
+        if let Some(lane) = self.lanes.get_mut(lane) {
+            lane.limit.set_max(slots);
+        }
+    }
+
+    /// The adaptive limit of a service.
+    pub fn limit(&self, lane: LaneKey) -> u32 {
+        self.lanes.get(lane).map_or(0, |lane| lane.limit.get())
+    }
+
+    /// Requests of a service that run and that wait.
+    pub fn load(&self, lane: LaneKey) -> (u32, usize) {
+        self.lanes.get(lane).map_or((0, 0), |lane| (lane.running.get(), lane.waiting.len()))
+    }
+
+    /// Lets a request through, lets it wait, or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason if a limit is reached or the answer could not come by `deadline`. The request did not run.
+    pub fn offer(&mut self, key: LaneKey, deadline: TimeUs, now: TimeUs) -> Result<Offer, Refusal> {
+        let reason = match self.check(key, deadline, now) {
+            Ok(()) => return Ok(self.take(key, deadline)),
+            Err(reason) => reason,
+        };
+        Err(self.refuse(key, reason))
+    }
+
+    fn check(&self, key: LaneKey, deadline: TimeUs, now: TimeUs) -> Result<(), Reason> {
+        let lane = self.lanes.get(key).ok_or(Reason::UnknownService)?;
+        if self.kinds[lane.kind as usize].get() >= self.settings.of_kind(lane.kind) {
+            return Err(Reason::KindLimit);
+        }
+        if lane.profile.get() >= lane.profile_limit {
+            return Err(Reason::ProfileLimit);
+        }
+        let spare_us = deadline.since_us(now).checked_sub(lane.safe_us()).ok_or(Reason::TooLate)?;
+        if spare_us == 0 {
+            return Err(Reason::TooLate);
+        }
+        if lane.is_free() {
+            return Ok(());
+        }
+        if lane.waiting.len() >= self.settings.max_waiting {
+            return Err(Reason::QueueFull);
+        }
+        let wait_us = lane.wait_us(deadline);
+        if wait_us > spare_us * u64::from(self.settings.wait_percent) / 100 { Err(Reason::TooLate) } else { Ok(()) }
+    }
+
+    fn take(&mut self, key: LaneKey, deadline: TimeUs) -> Offer {
+        let lane = &mut self.lanes[key];
+        let presence = Presence { _kind: self.kinds[lane.kind as usize].enter(), _profile: lane.profile.enter() };
+        if lane.is_free() {
+            return Offer::Run(Pass { lane: key, presence, _running: lane.running.enter() });
+        }
+        self.sequence += 1;
+        let wait = WaitKey { deadline, sequence: self.sequence };
+        lane.enqueue(Waiting { key: wait, presence });
+        Offer::Wait(wait)
+    }
+
+    /// What is to be done with a waiting request now. To be called until it returns `None` whenever a request of the
+    /// service ended, and about every 10 ms while requests wait.
+    pub fn next(&mut self, key: LaneKey, now: TimeUs) -> Option<Next> {
+        let lane = self.lanes.get_mut(key)?;
+        let first = lane.waiting.front()?.key;
+        if first.deadline.since_us(now) <= lane.safe_us() {
+            lane.waiting.pop_front();
+            let refusal = self.refuse(key, Reason::TooLate);
+            return Some(Next::Refuse(first, refusal));
+        }
+        if !lane.has_room() || now < lane.paused_until {
+            return None;
+        }
+        let Waiting { key: wait, presence } = lane.waiting.pop_front()?;
+        Some(Next::Run(wait, Pass { lane: key, presence, _running: lane.running.enter() }))
+    }
+
+    /// Forgets a waiting request whose caller is gone.
+    pub fn withdraw(&mut self, lane: LaneKey, wait: WaitKey) -> bool {
+        self.lanes.get_mut(lane).is_some_and(|lane| lane.withdraw(wait))
+    }
+
+    /// Ends a request that was sent, and adapts the limit.
+    pub fn finish(&mut self, pass: Pass, ended: Ended, now: TimeUs) {
+        if let Some(lane) = self.lanes.get_mut(pass.lane) {
+            lane.finish(ended, now);
+        }
+    }
+
+    /// Lowers the limit because an agent refused a request for want of a slot, whether or not the request is sent again.
+    pub fn note_full(&mut self, lane: LaneKey, now: TimeUs) {
+        if let Some(lane) = self.lanes.get_mut(lane) {
+            lane.limit.full(now);
+        }
+    }
+
+    /// Puts a request back into the queue because no endpoint had room for it. The queue then pauses until a request of
+    /// the service ends, for 2 ms at most.
+    pub fn put_back(&mut self, pass: Pass, deadline: TimeUs, now: TimeUs) -> WaitKey {
+        self.sequence += 1;
+        let wait = WaitKey { deadline, sequence: self.sequence };
+        if let Some(lane) = self.lanes.get_mut(pass.lane) {
+            lane.paused_until = now.plus_us(PAUSE_US);
+            lane.enqueue(Waiting { key: wait, presence: pass.presence });
+        }
+        wait
+    }
+
+    fn refuse(&mut self, key: LaneKey, reason: Reason) -> Refusal {
+        self.refusals = self.refusals.wrapping_add(1);
+        let drain_us = self.lanes.get(key).map_or(1_000_000, Lane::drain_us);
+        // Multiples of the golden ratio spread the times evenly over one to three times the estimate.
+        let spread = self.refusals.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 54;
+        let retry_after_ms = (drain_us + drain_us * spread / 512).div_ceil(1_000).max(1);
+        Refusal { reason, retry_after_ms }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const DUE: TimeUs = TimeUs(400_000);
+
+    fn lane(admission: &mut Admission, name: &str, kind: Kind, max_in_flight: u32) -> LaneKey {
+        let profile = ProfileName::new(format!("profile-of-{name}")).expect("valid id");
+        let settings = LaneSettings::new(profile, kind).with_max_in_flight(max_in_flight);
+        let lane = admission.set_lane(&ServiceName::new(name).expect("valid id"), &settings);
+        admission.set_slots(lane, 8);
+        lane
+    }
+
+    /// Lets the service learn that an answer takes 40 ms.
+    fn teach(admission: &mut Admission, lane: LaneKey) {
+        for _ in 0..200 {
+            let Ok(Offer::Run(pass)) = admission.offer(lane, DUE, TimeUs(0)) else { panic!("all is free") };
+            admission.finish(pass, Ended::Answered { took_us: 40_000 }, TimeUs(0));
+        }
+    }
+
+    /// Guards against a flood of batch requests that leaves no place for latency-critical ones.
+    #[test]
+    fn a_flood_of_one_kind_or_profile_leaves_the_others_their_places() {
+        let mut admission = Admission::new(AdmissionSettings::default().with_kinds(100, 50, 50));
+        let floods =
+            [lane(&mut admission, "masters", Kind::Batch, 40), lane(&mut admission, "statements", Kind::Batch, 1_000)];
+        let flood = floods.map(|lane| (0..500).map(|_| admission.offer(lane, DUE, TimeUs(0))).collect::<Vec<_>>());
+        let reasons = flood.each_ref().map(|all| all.iter().filter_map(|o| o.as_ref().err()).map(|r| r.reason).next());
+        assert_eq!(reasons, [Some(Reason::ProfileLimit), Some(Reason::KindLimit)]);
+        let urgent = lane(&mut admission, "previews", Kind::LatencyCritical, 100);
+        assert!(matches!(admission.offer(urgent, DUE, TimeUs(0)), Ok(Offer::Run(_))));
+        drop(flood);
+        assert!(admission.offer(floods[0], DUE, TimeUs(0)).is_ok(), "dropped passes give their places back");
+    }
+
+    /// Guards against a queue so long that its requests are answered too late, and against callers that all come back
+    /// at the same time.
+    #[test]
+    fn requests_that_could_not_be_answered_in_time_are_refused_early() {
+        let mut admission = Admission::new(AdmissionSettings::default());
+        let lane = lane(&mut admission, "previews", Kind::LatencyCritical, 10_000);
+        teach(&mut admission, lane);
+        let offers: Vec<_> = (0..200).map(|_| admission.offer(lane, DUE, TimeUs(0))).collect();
+        let waiting = offers.iter().filter(|offer| matches!(offer, Ok(Offer::Wait(_)))).count();
+        // A quarter of the spare 360 ms at 5 ms a request.
+        assert!((14..=18).contains(&waiting), "{waiting}");
+        let refusals: Vec<_> = offers.iter().filter_map(|offer| offer.as_ref().err()).collect();
+        assert!(refusals.iter().all(|refusal| refusal.reason == Reason::TooLate));
+        let distinct: std::collections::HashSet<_> = refusals.iter().map(|refusal| refusal.retry_after_ms).collect();
+        assert!(distinct.len() > 50, "{}", distinct.len());
+        let short = admission.offer(lane, TimeUs(30_000), TimeUs(0));
+        assert!(short.is_err_and(|refusal| refusal.reason == Reason::TooLate), "an answer takes longer than that");
+    }
+
+    /// Guards against a slot spent on a request that is already lost, before one that can still be answered.
+    #[test]
+    fn the_queue_serves_the_earliest_deadline_that_can_still_be_met() {
+        let mut admission = Admission::new(AdmissionSettings::default());
+        let lane = lane(&mut admission, "previews", Kind::LatencyCritical, 100);
+        teach(&mut admission, lane);
+        let running: Vec<_> = (0..8).map(|_| admission.offer(lane, DUE, TimeUs(0)).expect("a place is free")).collect();
+        let mut wait = |due| match admission.offer(lane, TimeUs(due), TimeUs(0)) {
+            Ok(Offer::Wait(key)) => key,
+            other => panic!("it can wait: {other:?}"),
+        };
+        let (late, lost, soon) = (wait(400_000), wait(90_000), wait(200_000));
+        drop(running);
+        assert!(matches!(admission.next(lane, TimeUs(60_000)), Some(Next::Refuse(key, _)) if key == lost));
+        assert!(matches!(admission.next(lane, TimeUs(60_000)), Some(Next::Run(key, _)) if key == soon));
+        assert!(admission.withdraw(lane, late));
+        assert!(admission.next(lane, TimeUs(60_000)).is_none());
+    }
+
+    /// Guards against a limit that stays above what the endpoints take, or that never rises again.
+    #[test]
+    fn refusals_and_latency_lower_the_limit_and_answers_raise_it() {
+        let mut admission = Admission::new(AdmissionSettings::default());
+        let lane = lane(&mut admission, "previews", Kind::LatencyCritical, 1_000);
+        admission.set_slots(lane, 80);
+        teach(&mut admission, lane);
+        (0..40).for_each(|_| admission.note_full(lane, TimeUs(0)));
+        assert_eq!(admission.limit(lane), 60);
+        let mut answer = |took_us, from: u64| {
+            for round in from..from + 400 {
+                let now = TimeUs(round * 40_000);
+                let due = now.plus_us(10_000_000);
+                let offers = (0..80).map_while(|_| admission.offer(lane, due, now).ok()).collect::<Vec<_>>();
+                for offer in offers {
+                    if let Offer::Run(pass) = offer {
+                        admission.finish(pass, Ended::Answered { took_us }, now);
+                    }
+                }
+                while admission.load(lane).1 > 0 {
+                    match admission.next(lane, now) {
+                        Some(Next::Run(_, pass)) => admission.finish(pass, Ended::Failed, now),
+                        _ => break,
+                    }
+                }
+            }
+            admission.limit(lane)
+        };
+        assert_eq!(answer(40_000, 0), 80, "it rises to the slots and no further");
+        let crowded = answer(400_000, 400);
+        assert!(crowded < 80, "{crowded}");
+    }
+
+    /// Guards against a limit that falls on a service with answers in a fraction of a millisecond, whose requests then
+    /// wait although the endpoints have room: by answers twice as slow as the fastest under `load`, and by a pause of the
+    /// host every 50 rounds.
+    #[rstest::rstest]
+    #[case::all_places_in_use(48, 450, 450)]
+    #[case::a_third_of_the_places_in_use(16, 450, 30_000)]
+    fn short_answers_with_jitter_and_pauses_do_not_wait(
+        #[case] load: usize,
+        #[case] took_us: u64,
+        #[case] paused_us: u64,
+    ) {
+        let mut admission = Admission::new(AdmissionSettings::default());
+        let lane = lane(&mut admission, "previews", Kind::LatencyCritical, 1_000);
+        admission.set_slots(lane, 48);
+        let mut now = TimeUs(0);
+        for round in 0..5_000 {
+            let (in_flight, took_us) = match round {
+                0..100 => (1, 150),
+                _ if round % 50 == 0 => (load, paused_us),
+                _ => (load, took_us),
+            };
+            let due = now.plus_us(2_000_000);
+            let offers: Vec<_> = (0..in_flight).map(|_| admission.offer(lane, due, now)).collect();
+            now = now.plus_us(took_us);
+            for offer in offers {
+                let Ok(Offer::Run(pass)) = offer else { panic!("round {round}: {offer:?}") };
+                admission.finish(pass, Ended::Answered { took_us }, now);
+            }
+        }
+        assert_eq!(admission.limit(lane), 48);
+    }
+}
--- /dev/null
+++ b/crates/core/src/cells.rs
@@ -0,0 +1,245 @@
+/*!
+What divides a deployment into cells: the home cells of services, the shares of team quotas, and the spacing of appends.
+
+```
+use fescuelead_core::cells::append_spacing_ms;
+
+// 3 entries in each of 10 cells append at most 300 times a second in all.
+assert_eq!(append_spacing_ms(10, 3, 10), 100);
+// At a small site the setting is longer.
+assert_eq!(append_spacing_ms(10, 2, 1), 10);
+```
+*/
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{ServiceName, TeamId},
+    profile::ProfileSet,
+    units::Resources,
+};
+
+/// The highest number of a cell.
+pub const MAX_CELL: u32 = 1_023;
+/// Appends a second that the writers of all cells may make together. The log service takes several hundred.
+pub const MAX_APPENDS_PER_S: u64 = 300;
+/// Services that are gone and whose home cells are remembered. It bounds the state; the keys of a service are gone long
+/// before so many others have been removed.
+pub const MAX_REMOVED_SERVICES: usize = 4_096;
+
+/// The shortest time between two appends of one writer: the setting, or longer, so that the writers of all cells together
+/// make at most [`MAX_APPENDS_PER_S`].
+pub fn append_spacing_ms(setting_ms: u64, registered_entries: usize, cells: usize) -> u64 {
+    let writers = (registered_entries.max(1) as u64).saturating_mul(cells.max(1) as u64);
+    writers.saturating_mul(1_000).div_ceil(MAX_APPENDS_PER_S).max(setting_ms)
+}
+
+/// The cells that a profile set names: home cells of services, cells with a share of a quota, and cell 0.
+pub fn cells_of(set: &ProfileSet) -> BTreeSet<u32> {
+    let homes = set.services.values().map(|service| service.cell);
+    let shares = set.teams.values().flat_map(|team| team.shares().into_keys());
+    std::iter::once(0).chain(homes).chain(shares).collect()
+}
+
+/// The home cells of the services that use profiles of a team.
+fn homes_of(set: &ProfileSet, team: &TeamId) -> BTreeSet<u32> {
+    let uses = |profile| set.profiles.get(profile).is_some_and(|profile| profile.team == *team);
+    set.services.values().filter(|service| uses(&service.profile)).map(|service| service.cell).collect()
+}
+
+/// The share of each team's quota that a cell enforces, rounded down, so that the shares of all cells never exceed the
+/// quota. Linear in the size of the set.
+pub fn quotas_in(set: &ProfileSet, cell: u32) -> BTreeMap<TeamId, Resources> {
+    set.teams.keys().filter_map(|team| Some((team.clone(), quota_in(set, team, cell)?))).collect()
+}
+
+/// The share of a team's quota that a cell enforces; nothing if there is no such team.
+pub fn quota_in(set: &ProfileSet, id: &TeamId, cell: u32) -> Option<Resources> {
+    let team = set.teams.get(id)?;
+    if !team.cell_shares.is_empty() {
+        return Some(part(&team.quota, team.shares().get(&cell).copied().unwrap_or(0), 100));
+    }
+    let homes = homes_of(set, id);
+    Some(match (homes.is_empty(), homes.contains(&cell)) {
+        (true, _) => part(&team.quota, u32::from(cell == 0), 1),
+        (false, true) => part(&team.quota, 1, u32::try_from(homes.len()).unwrap_or(u32::MAX)),
+        (false, false) => Resources::ZERO,
+    })
+}
+
+fn part(of: &Resources, share: u32, whole: u32) -> Resources {
+    let part = |amount: u32| {
+        let part = u64::from(amount) * u64::from(share) / u64::from(whole.max(1));
+        u32::try_from(part).unwrap_or(u32::MAX)
+    };
+    Resources::new(part(of.cpu_milli), part(of.memory_mib)).with_accelerators(part(of.accelerators))
+}
+
+/// The home cells of all services, also of those that were removed: the keys of a removed service stand in its home cell,
+/// so that it may come back only there.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HomeCells {
+    homes: BTreeMap<ServiceName, Home>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Home {
+    cell: u32,
+    /// The version that removed the service.
+    removed_in: Option<u64>,
+}
+
+impl HomeCells {
+    /// The home cell of a service that exists or is remembered.
+    pub fn get(&self, service: &str) -> Option<u32> {
+        self.homes.iter().find(|(known, _)| known.as_str() == service).map(|(_, home)| home.cell)
+    }
+
+    /// All home cells by service, remembered ones included.
+    pub fn iter(&self) -> impl Iterator<Item = (&ServiceName, u32)> {
+        self.homes.iter().map(|(service, home)| (service, home.cell))
+    }
+
+    /// What is wrong if a profile set moves services, with the remedy.
+    pub fn refusal(&self, set: &ProfileSet) -> Option<String> {
+        let moved = set.services.iter().filter_map(|(name, service)| {
+            let home = self.homes.get(name).filter(|home| home.cell != service.cell)?;
+            Some(moved_message(name.as_str(), home.cell, service.cell))
+        });
+        let moved: Vec<_> = moved.collect();
+        (!moved.is_empty()).then(|| moved.join("\n"))
+    }
+
+    /// Takes in a profile set that was accepted in this version.
+    pub(crate) fn accept(&mut self, set: &ProfileSet, version: u64) {
+        for (name, home) in &mut self.homes {
+            match set.services.contains_key(name) {
+                true => home.removed_in = None,
+                false => home.removed_in = home.removed_in.or(Some(version)),
+            }
+        }
+        for (name, service) in &set.services {
+            self.homes.entry(name.clone()).or_insert(Home { cell: service.cell, removed_in: None });
+        }
+        self.forget();
+    }
+
+    /// Forgets the services that were removed first.
+    fn forget(&mut self) {
+        let removed = |(name, home): (&ServiceName, &Home)| Some((home.removed_in?, name.clone()));
+        let mut removed: Vec<_> = self.homes.iter().filter_map(removed).collect();
+        removed.sort_unstable();
+        let excess = removed.len().saturating_sub(MAX_REMOVED_SERVICES);
+        removed.iter().take(excess).for_each(|(_, name)| {
+            self.homes.remove(name);
+        });
+    }
+}
+
+/// Says that a service would get another home cell, with the remedy.
+pub fn moved_message(service: &str, home: u32, asked: u32) -> String {
+    format!(
+        "service.{service}.cell: the home cell of a service cannot change, because cell {asked} does not know the keys \
+         of cell {home}; keep cell = {home}, or add a service with a new name in cell {asked}"
+    )
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn set(teams: &str, services: &[(&str, u32)]) -> ProfileSet {
+        let services: String =
+            services.iter().map(|(name, cell)| format!("[service.{name}]\nprofile = \"p\"\ncell = {cell}\n")).collect();
+        let profile = "[profile.p]\nkind = \"batch\"\nteam = \"t\"\nresources = { cpu_milli = 1, memory_mib = 1 }\n";
+        ProfileSet::parse(&format!("{teams}{profile}{services}")).expect("a valid set")
+    }
+
+    fn shares(set: &ProfileSet) -> Vec<Resources> {
+        let team = TeamId::new("t").expect("valid id");
+        (0..=MAX_CELL).filter_map(|cell| quota_in(set, &team, cell)).collect()
+    }
+
+    /// Guards against cells that together let a team hold more than its quota.
+    #[rstest::rstest]
+    #[case::fixed("cell_shares = { \"0\" = 33, \"7\" = 67 }", &[("a", 0)])]
+    #[case::fixed_in_part("cell_shares = { \"0\" = 10, \"7\" = 15 }", &[("a", 0)])]
+    #[case::even("", &[("a", 0), ("b", 4), ("c", 1023), ("d", 4)])]
+    #[case::without_services("", &[])]
+    fn the_shares_of_all_cells_never_exceed_the_quota(#[case] fixed: &str, #[case] services: &[(&str, u32)]) {
+        for amount in [100, 101, 997, u32::MAX] {
+            let team =
+                format!("[team.t]\nquota = {{ cpu_milli = {amount}, memory_mib = {amount}, accelerators = 7 }}\n");
+            let shares = shares(&set(&format!("{team}{fixed}\n"), services));
+            let sum = |of: fn(&Resources) -> u32| shares.iter().map(|share| u64::from(of(share))).sum::<u64>();
+            assert!(sum(|r| r.cpu_milli) <= u64::from(amount), "{shares:?}");
+            assert!(sum(|r| r.memory_mib) <= u64::from(amount));
+            assert!(sum(|r| r.accelerators) <= 7);
+        }
+    }
+
+    /// Guards against a share that a cell rounds up, and against work of a cell that has no share.
+    #[test]
+    fn shares_are_rounded_down() {
+        let team = "[team.t]\nquota = { cpu_milli = 1000, memory_mib = 101, accelerators = 1 }\n";
+        let even = shares(&set(team, &[("a", 0), ("b", 2), ("c", 5)]));
+        assert_eq!(even[2], Resources::new(333, 33));
+        assert_eq!((even[5], even[1]), (even[0], Resources::ZERO));
+        let fixed = shares(&set(&format!("{team}cell_shares = {{ \"2\" = 50 }}\n"), &[("b", 2)]));
+        assert_eq!((fixed[0], fixed[2]), (Resources::ZERO, Resources::new(500, 50)));
+    }
+
+    /// Guards against a team that loses its quota because no service uses it yet, and against one cell's loss of quota.
+    #[test]
+    fn a_team_without_services_has_its_quota_in_cell_0() {
+        let quota = Resources::new(1000, 100);
+        let team = "[team.t]\nquota = { cpu_milli = 1000, memory_mib = 100 }\n";
+        assert_eq!(shares(&set(team, &[]))[..2], [quota, Resources::ZERO]);
+        assert_eq!(shares(&set(team, &[("a", 0)]))[0], quota);
+    }
+
+    /// Guards against more appends than the log service takes when entries or cells are added.
+    #[rstest::rstest]
+    #[case::none_registered(0, 0, 10)]
+    #[case::today(3, 1, 10)]
+    #[case::four(4, 1, 14)]
+    #[case::ten(10, 1, 34)]
+    #[case::target(3, 10, 100)]
+    #[case::uneven(1, 7, 24)]
+    fn the_spacing_grows_with_entries_and_cells(#[case] entries: usize, #[case] cells: usize, #[case] expected: u64) {
+        let spacing_ms = append_spacing_ms(10, entries, cells);
+        assert_eq!(spacing_ms, expected);
+        assert!((entries * cells) as u64 * 1_000 <= spacing_ms * MAX_APPENDS_PER_S);
+    }
+
+    /// Guards against a longer setting that is cut short.
+    #[test]
+    fn a_longer_setting_stands() {
+        assert_eq!(append_spacing_ms(200, 3, 10), 200);
+    }
+
+    /// Guards against cells that are not counted, whose appends then come on top of the limit.
+    #[test]
+    fn cells_are_those_of_services_and_shares_and_cell_0() {
+        let team =
+            "[team.t]\nquota = { cpu_milli = 1000, memory_mib = 100 }\ncell_shares = { \"9\" = 5, \"3\" = 95 }\n";
+        assert_eq!(cells_of(&set(team, &[("a", 3), ("b", 3)])), BTreeSet::from([0, 3, 9]));
+        assert_eq!(cells_of(&ProfileSet::default()), BTreeSet::from([0]));
+    }
+
+    /// Guards against a memory of removed services that grows without bound, or forgets one that still exists.
+    #[test]
+    fn the_service_that_was_removed_first_is_forgotten_first() {
+        let team = "[team.t]\nquota = { cpu_milli = 1000, memory_mib = 100 }\n";
+        let mut homes = HomeCells::default();
+        homes.accept(&set(team, &[("keep", 1), ("gone", 2)]), 1);
+        for version in 0..MAX_REMOVED_SERVICES as u64 {
+            homes.accept(&set(team, &[("keep", 1), (&format!("s{version}"), 3)]), 2 + version);
+        }
+        assert_eq!((homes.get("keep"), homes.get("gone"), homes.get("s0")), (Some(1), Some(2), Some(3)));
+        homes.accept(&set(team, &[("keep", 1)]), 1_000_000);
+        assert_eq!((homes.get("keep"), homes.get("gone"), homes.get("s0")), (Some(1), None, Some(3)));
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/quota.rs
@@ -0,0 +1,105 @@
+//! What teams hold and may hold.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::{
+    cell::{CellState, Task, TaskPhase},
+    ids::TeamId,
+    profile::Team,
+    units::Resources,
+};
+
+/// Quotas of teams and what their tasks hold. Fed from the shared fold, all entries count alike.
+#[derive(Debug, Clone, Default)]
+pub struct Quotas {
+    quotas: HashMap<TeamId, Resources>,
+    held: HashMap<TeamId, Resources>,
+}
+
+impl Quotas {
+    /// Knows no team yet. A team without a quota is not limited.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the quotas of the cell from the profile set in force, see [`quotas_in`](crate::cells::quotas_in).
+    pub fn set_quotas(&mut self, quotas: BTreeMap<TeamId, Resources>) {
+        self.quotas = quotas.into_iter().collect();
+    }
+
+    /// Sets the quota of one team.
+    pub fn set_quota(&mut self, id: TeamId, team: &Team) {
+        self.quotas.insert(id, team.quota);
+    }
+
+    /// Counts what teams hold in a cell anew: the sum over assigned and fenced tasks, since a fenced attempt may still
+    /// run. Linear in the number of tasks; use [`hold`](Self::hold) and [`release`](Self::release) in between.
+    pub fn recount<'c>(&mut self, cells: impl IntoIterator<Item = &'c CellState>) {
+        self.held.clear();
+        cells.into_iter().flat_map(CellState::tasks).filter(|task| holds(task)).for_each(|task| {
+            self.hold(&task.spec.team, &task.spec.resources);
+        });
+    }
+
+    /// Counts a task that was assigned.
+    pub fn hold(&mut self, team: &TeamId, resources: &Resources) {
+        let held = self.held.entry(team.clone()).or_default();
+        *held = held.plus(resources);
+    }
+
+    /// Counts a task that has ended or waits again.
+    pub fn release(&mut self, team: &TeamId, resources: &Resources) {
+        if let Some(held) = self.held.get_mut(team) {
+            *held = held.minus(resources);
+        }
+    }
+
+    /// The quota of a team, if it has one.
+    pub fn quota(&self, team: &TeamId) -> Option<Resources> {
+        self.quotas.get(team).copied()
+    }
+
+    /// What a team holds.
+    pub fn held(&self, team: &TeamId) -> Resources {
+        self.held.get(team).copied().unwrap_or(Resources::ZERO)
+    }
+
+    /// Whether a team may hold this much more.
+    pub fn allows(&self, team: &TeamId, more: &Resources) -> bool {
+        self.quotas.get(team).is_none_or(|quota| self.held(team).plus(more).fits_in(quota))
+    }
+}
+
+fn holds(task: &Task) -> bool {
+    matches!(task.phase, TaskPhase::Assigned { .. } | TaskPhase::Fenced { .. })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{
+        ids::{AgentId, EntryId, TaskId},
+        record::{Batch, Record},
+        testing,
+    };
+
+    /// Guards against a fenced attempt that still runs but no longer counts.
+    #[test]
+    fn assigned_and_fenced_tasks_count() {
+        let (task, entry) = (TaskId::new("c0-t").expect("valid id"), EntryId::new("e").expect("valid id"));
+        let agent = AgentId::new("agent").expect("valid id");
+        let mut cell = CellState::new(0);
+        let fence =
+            Record::AttemptFenced { task: task.clone(), attempt: 1, reason: crate::record::FenceReason::AgentLost };
+        let batch = Batch::new(entry, 1, 1)
+            .with_record(Record::EntryRegistered { peer_address: "127.0.0.1:1".to_owned() })
+            .with_record(Record::FencerAdmitted)
+            .with_record(Record::TaskSubmitted { task: task.clone(), spec: testing::spec() })
+            .with_record(Record::TaskAssigned { task, attempt: 1, agent, agent_incarnation: 1 })
+            .with_record(fence);
+        cell.apply(0, &batch);
+        let mut quotas = Quotas::new();
+        quotas.recount([&cell]);
+        assert_eq!(quotas.held(&testing::spec().team), testing::spec().resources);
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/score.rs
@@ -0,0 +1,162 @@
+//! The cost of one worker for one task.
+
+use crate::{
+    placement::{Demand, PlaceSettings, View, Worker, WorkerKey},
+    profile::{Kind, Spread},
+    units::TimeMs,
+};
+
+/// A report older than this begins to cost; the state of the worker may have changed.
+const FRESH_MS: u64 = 2_000;
+/// Cost of one full over-use of memory or processors by estimate.
+const CONTENTION_COST: f32 = 2.0;
+/// Cost of taking the last accelerator of a whole host, or of plain work on a host with free accelerators.
+const FRAGMENT_COST: f32 = 0.5;
+/// Cost of each task of the same class in the same rack or availability zone.
+const SPREAD_COST: f32 = 0.2;
+/// The throttle under which a task starts beside a service that it was never seen with. At 30% the harm of a noisy class
+/// stays within a service's SLO until the first reports are in, and those still tell harmful from harmless.
+pub(super) const TRIAL_PERCENT: u8 = 30;
+/// A service that burns accepts neighbours with less than this expected slowdown.
+const HARMLESS: f32 = 0.01;
+
+/// The parts of a worker's cost; lower is better.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Score {
+    /// Expected slowdown of services, the task itself and other tasks there.
+    pub interference: f32,
+    /// Over-use by estimated sizes.
+    pub contention: f32,
+    /// Accelerators that would be split up or blocked.
+    pub fragmentation: f32,
+    /// Tasks of the class in the same rack or availability zone.
+    pub spread: f32,
+    /// The age of the last report.
+    pub staleness: f32,
+    /// What stays free; less is a tighter fit.
+    pub slack: f32,
+    /// Whether the task was not yet seen with a service there.
+    pub explores: bool,
+}
+
+impl Score {
+    /// The throttle to start the task under, in percent. A task that starts below 100 is eased by
+    /// [`Remedies`](crate::placement::Remedies) once reports show that it does no harm.
+    pub fn start_percent(&self) -> u8 {
+        if self.explores { TRIAL_PERCENT } else { 100 }
+    }
+
+    /// The sum of the parts.
+    pub fn cost(&self) -> f32 {
+        self.interference + self.contention + self.fragmentation + self.spread + self.staleness + self.slack
+    }
+}
+
+/// The cost and its parts in the order of their size; parts that round to zero are left out.
+impl std::fmt::Display for Score {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let mut parts = [
+            ("interference", self.interference),
+            ("contention", self.contention),
+            ("fragmentation", self.fragmentation),
+            ("spread", self.spread),
+            ("old report", self.staleness),
+            ("slack", self.slack),
+        ];
+        parts.sort_by(|a, b| b.1.total_cmp(&a.1));
+        write!(f, "cost {:.2}", self.cost())?;
+        let shown = parts.iter().filter(|(_, cost)| cost.abs() >= 0.005);
+        shown.enumerate().try_for_each(|(index, (name, cost))| {
+            write!(f, "{}{name} {cost:.2}", if index == 0 { " = " } else { " + " })
+        })
+    }
+}
+
+/// Scores a worker, or returns nothing if the task must not go there.
+pub(super) fn score(
+    settings: &PlaceSettings,
+    demand: &Demand,
+    view: &View,
+    key: WorkerKey,
+    now: TimeMs,
+) -> Option<Score> {
+    let worker = view.table.get(key)?;
+    let free = view.table.free(key)?;
+    let (interference, explores) = match settings.use_interference {
+        true => slowdown(settings, demand, view, worker, now)?,
+        false => (0.0, false),
+    };
+    let contention = if settings.use_estimates { contention(demand, worker)? } else { 0.0 };
+    let left = free.minus(&demand.declared);
+    let share = |part: u32, whole: u32| if whole == 0 { 0.0 } else { part as f32 / whole as f32 };
+    let slack = settings.pack * share(left.cpu_milli, worker.capacity.cpu_milli);
+    let split = if demand.declared.accelerators > 0 { left.accelerators } else { free.accelerators };
+    let fragmentation = match settings.keep_accelerators {
+        true => FRAGMENT_COST * share(split, worker.capacity.accelerators.max(8)),
+        false => 0.0,
+    };
+    let spread = SPREAD_COST
+        * match demand.spread {
+            Spread::None => 0.0,
+            Spread::Rack => view.table.in_rack(demand.class, worker.rack),
+            Spread::AvailabilityZone => view.table.in_zone(demand.class, worker.zone),
+        };
+    let age_ms = now.since_ms(worker.reported).saturating_sub(FRESH_MS);
+    let staleness = (age_ms as f32 / 60_000.0).min(1.0);
+    Some(Score { interference, contention, fragmentation, spread, staleness, slack, explores })
+}
+
+/// The expected slowdown that the placement causes and whether a pair in it is unknown, or nothing if a service would be
+/// slowed beyond its budget.
+fn slowdown(
+    settings: &PlaceSettings,
+    demand: &Demand,
+    view: &View,
+    worker: &Worker,
+    now: TimeMs,
+) -> Option<(f32, bool)> {
+    let model = view.interference;
+    let (mut cost, mut explores) = (0.0, false);
+    for resident in &worker.residents {
+        let harm = model.effect(resident.class, demand.class, now);
+        let own = model.effect(demand.class, resident.class, now);
+        cost += resident.weight * own.mean;
+        if resident.kind != Kind::LatencyCritical {
+            cost += resident.weight * harm.mean;
+            continue;
+        }
+        let known = harm.deviation < model.settings().known_deviation;
+        explores |= !known;
+        let others = worker.residents.iter().filter(|r| r.kind != Kind::LatencyCritical && r.weight > 0.0);
+        let mut expected = 0.0;
+        let mut on_trial = false;
+        for other in others {
+            let effect = model.effect(resident.class, other.class, now);
+            expected += other.weight * effect.mean;
+            on_trial |= effect.deviation >= model.settings().known_deviation;
+        }
+        let allowed = if known {
+            expected + harm.upper(settings.caution) <= resident.budget
+        } else {
+            settings.explore && !on_trial && !resident.burning && expected + harm.mean <= resident.budget
+        };
+        if !allowed || (resident.burning && harm.mean > HARMLESS) {
+            return None;
+        }
+        // A service counts as many tasks: its callers wait for it.
+        cost += 4.0 * harm.mean;
+    }
+    Some((cost, explores))
+}
+
+/// The cost of over-use by estimated sizes, or nothing if the estimated memory would not fit beside what is there.
+fn contention(demand: &Demand, worker: &Worker) -> Option<f32> {
+    let capacity = worker.capacity;
+    let used = worker.expected_use.plus(&demand.expected);
+    let alone = worker.expected_use.memory_mib == 0 || demand.expected.memory_mib > capacity.memory_mib;
+    if used.memory_mib > capacity.memory_mib && !alone {
+        return None;
+    }
+    let over = |used: u32, whole: u32| used.saturating_sub(whole) as f32 / whole.max(1) as f32;
+    Some(CONTENTION_COST * over(used.cpu_milli, capacity.cpu_milli))
+}
--- /dev/null
+++ b/crates/core/tests/snapshot.rs
@@ -0,0 +1,168 @@
+//! Readers that start late, from snapshots, come to the same state as one that read the whole stream.
+
+use fescuelead_core::{
+    cell::CellState,
+    ids::{AgentId, EntryId, RequestKey, TaskId},
+    record::{Batch, FenceReason, Outcome, Record, RequestOutcome},
+    snapshot::{Assembler, Follower, Page, chunks},
+    testing,
+    units::TimeMs,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const APPENDS: usize = 400;
+
+fn entry(number: u32) -> EntryId {
+    EntryId::new(format!("entry-{number}")).expect("valid id")
+}
+
+fn record(rng: &mut ChaCha8Rng) -> Record {
+    let task = TaskId::new(format!("c0-t{}", rng.random_range(0..40))).expect("valid id");
+    let attempt = rng.random_range(1..4);
+    let agent = AgentId::new(format!("agent-{}", rng.random_range(0..5))).expect("valid id");
+    let key = RequestKey::new(format!("key-{}", rng.random_range(0..40))).expect("valid key");
+    match rng.random_range(0..10) {
+        0 => Record::TaskSubmitted { task, spec: testing::spec() },
+        1 | 2 => Record::TaskAssigned { task, attempt, agent, agent_incarnation: 1 },
+        3 | 4 => Record::AttemptFenced { task, attempt, reason: FenceReason::AgentLost },
+        5 => Record::AttemptStopped { task, attempt, started: true, checkpoint: Some("at 7".to_owned()) },
+        6 => Record::AttemptFinished { task, attempt, outcome: Outcome::Failed { reason: "crash".to_owned() } },
+        7 => Record::RequestClaimed { key, digest: 1, agent, agent_incarnation: 1, deadline_unix_ms: 9 },
+        8 => Record::RequestResolved { key, claim_offset: rng.random_range(0..40), outcome: RequestOutcome::Unknown },
+        _ if rng.random_bool(0.5) => Record::EntryRegistered { peer_address: "127.0.0.1:1".to_owned() },
+        _ => Record::FencerAdmitted,
+    }
+}
+
+/// A stream in which two entries write at once and now and then each cuts a snapshot into small chunks, which the other's
+/// appends come between. Some snapshots stay incomplete or are damaged, and some appends cannot be decoded.
+fn stream(rng: &mut ChaCha8Rng) -> Vec<Vec<u8>> {
+    let mut log: Vec<Vec<u8>> = Vec::new();
+    let mut reader = CellState::new(0);
+    let mut pending: [Vec<Record>; 2] = [Vec::new(), Vec::new()];
+    let mut sequences = [0; 2];
+    while log.len() < APPENDS {
+        let writer = rng.random_range(0..2);
+        if rng.random_bool(0.05) {
+            pending[writer] = small_chunks(&reader, rng);
+        }
+        sequences[writer] += u64::from(rng.random_bool(0.95));
+        let mut batch = Batch::new(entry(u32::try_from(writer).expect("small")), 1, sequences[writer]);
+        batch.records = (0..rng.random_range(0..4)).map(|_| record(rng)).collect();
+        batch.records.extend(pending[writer].pop());
+        let bytes = if rng.random_bool(0.03) { vec![9, 9, 9] } else { batch.encode().expect("encodes") };
+        let offset = log.len() as u64;
+        match Batch::decode(&bytes) {
+            Ok(batch) => {
+                reader.apply(offset, &batch);
+            }
+            Err(_) => reader.skip(offset),
+        }
+        log.push(bytes);
+    }
+    log
+}
+
+fn small_chunks(state: &CellState, rng: &mut ChaCha8Rng) -> Vec<Record> {
+    let whole = chunks(state).expect("encodes");
+    let mut bytes: Vec<u8> = whole
+        .into_iter()
+        .flat_map(|chunk| match chunk {
+            Record::SnapshotChunk { bytes, .. } => bytes,
+            other => panic!("no chunk: {other:?}"),
+        })
+        .collect();
+    if rng.random_bool(0.3) {
+        let place = rng.random_range(0..bytes.len());
+        bytes[place] ^= 1;
+    }
+    let parts: Vec<_> = bytes.chunks(bytes.len() / 3 + 1).collect();
+    let (as_of, count) = (state.next_offset(), u32::try_from(parts.len()).expect("few"));
+    let chunk = |(index, part): (u32, &&[u8])| Record::SnapshotChunk { as_of, index, count, bytes: part.to_vec() };
+    (0..).zip(&parts).map(chunk).collect()
+}
+
+/// Reads pages up to the tail while the log is at `tail` and keeps what is at or above `first`.
+fn read(follower: &mut Follower<CellState>, log: &[Vec<u8>], (first, tail): (usize, usize), rng: &mut ChaCha8Rng) {
+    for _ in 0..10 * APPENDS {
+        let from = (follower.read_from() as usize).max(first);
+        let end = (from + rng.random_range(1..60)).min(tail);
+        let records: Vec<_> = (from..end).map(|offset| (offset as u64, log[offset].as_slice())).collect();
+        let (first_offset, tail_offset) = (first as u64, tail as u64);
+        let before = follower.state().next_offset();
+        follower.page(&Page { start: TimeMs(tail_offset), records: &records, first_offset, tail_offset });
+        assert!(follower.state().next_offset() >= before, "the state went back");
+        if end == tail && (follower.fresh_at() == Some(TimeMs(tail_offset)) || follower.needs_snapshot()) {
+            return;
+        }
+    }
+    panic!("the reader never came to the tail");
+}
+
+/// Guards against a restarted reader whose state differs from that of one that read everything, and against a reader
+/// that calls its view complete while records are missing.
+#[rstest]
+fn a_reader_from_a_snapshot_comes_to_the_same_state(#[values(1, 2, 3, 4, 5, 6, 7, 8)] block: u64) {
+    let (mut restored, mut lagging) = (0, 0);
+    for seed in block * 100..block * 100 + 50 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let log = stream(&mut rng);
+        let mut whole = Follower::new(CellState::new(0));
+        let mut late = Follower::new(CellState::new(0));
+        let mut first = 0;
+        for tail in [100, 200, 300, APPENDS] {
+            read(&mut whole, &log, (0, tail), &mut rng);
+            if rng.random_bool(0.5) {
+                first = rng.random_range(first..tail);
+                read(&mut late, &log, (first, tail), &mut rng);
+                let mut newcomer = Follower::new(CellState::new(0));
+                read(&mut newcomer, &log, (first, tail), &mut rng);
+                for reader in [&late, &newcomer] {
+                    let same = reader.state().to_image() == whole.state().to_image();
+                    assert!(same || !reader.is_complete(), "seed {seed}: the states differ at {tail}");
+                    restored += u64::from(reader.is_complete() && first > 0);
+                    lagging += u64::from(reader.needs_snapshot());
+                }
+            }
+        }
+        assert!(whole.state().skipped() > 0);
+    }
+    assert!(restored > 20 && lagging > 0, "{restored} readers restored, {lagging} found no snapshot");
+}
+
+/// Guards against a snapshot put together from the chunks of two writers.
+#[test]
+fn chunks_of_two_writers_are_not_mixed() {
+    let chunk = |index: u32, bytes: &[u8]| Record::SnapshotChunk { as_of: 5, index, count: 2, bytes: bytes.to_vec() };
+    let mut state = CellState::new(0);
+    state.skip(4);
+    let Some(Record::SnapshotChunk { bytes, .. }) = chunks(&state).expect("encodes").pop() else { panic!("no chunk") };
+    let (left, right) = bytes.split_at(6);
+    let mut assembler = Assembler::new();
+    let write = |number: u32, record: Record| Batch::new(entry(number), 1, 1).with_record(record);
+    assembler.take(&write(0, chunk(0, left)));
+    assembler.take(&write(1, chunk(1, right)));
+    assert!(assembler.newest().is_none());
+    assembler.take(&write(1, chunk(0, left)));
+    assert_eq!(assembler.newest().map(|(as_of, _)| as_of), Some(5));
+}
+
+/// Guards against an older copy of a peer, or an older snapshot, that replaces a newer state.
+#[test]
+fn an_older_copy_changes_nothing() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let log = stream(&mut rng);
+    let mut follower = Follower::new(CellState::new(0));
+    read(&mut follower, &log, (0, 100), &mut rng);
+    let old = follower.state().clone();
+    read(&mut follower, &log, (0, 200), &mut rng);
+    assert!(!follower.adopt(old.clone()));
+    assert_eq!(follower.state().next_offset(), 200);
+    let mut newcomer = Follower::new(CellState::new(0));
+    assert!(newcomer.adopt(old));
+    assert!(!newcomer.is_complete(), "the copy is not known to be fresh");
+    read(&mut newcomer, &log, (0, 200), &mut rng);
+    assert_eq!(newcomer.state().to_image(), follower.state().to_image());
+}
