Try an idle service again whose estimate refuses every request

Cause: after one answer slower than a quarter of the deadline, admission took four times that answer as the safe time and refused all later requests as not run. With nothing let through, no answer ever corrected the estimate.

Ruled out: a stuck claim, since the refusals come before the claim, and a slow host, since they lasted until the end of each failed run.

Change: the first deviation is half of the first answer (RFC 6298), and an idle service is tried with one request at a time once its estimate is old.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -142,6 +142,8 @@
     lane: LaneKey,
     presence: Presence,
     _running: Guard,
+    /// Above zero if the request tries a service whose estimate is old: how often the estimate is to be halved.
+    trial_halvings: u32,
 }
 
 impl Pass {
@@ -288,16 +290,22 @@
         self.lanes.get(lane).map_or((0, 0), |lane| (lane.running.get(), lane.waiting.len()))
     }
 
-    /// Lets a request through, lets it wait, or refuses it.
+    /// Lets a request through, lets it wait, or refuses it. An idle service that has given no answer for long is tried with
+    /// a request that its estimate would refuse.
     ///
     /// # Errors
     ///
     /// Fails with the reason if a limit is reached or the answer could not come by `deadline`. The request did not run.
     pub fn offer(&mut self, key: LaneKey, deadline: TimeUs, now: TimeUs) -> Result<Offer, Refusal> {
         let reason = match self.check(key, deadline, now) {
-            Ok(()) => return Ok(self.take(key, deadline)),
+            Ok(()) => return Ok(self.take(key, deadline, 0)),
             Err(reason) => reason,
         };
+        if reason == Reason::TooLate
+            && let Some(halvings) = self.lanes.get_mut(key).and_then(|lane| lane.begin_trial(deadline, now))
+        {
+            return Ok(self.take(key, deadline, halvings));
+        }
         Err(self.refuse(key, reason))
     }
 
@@ -323,11 +331,11 @@
         if wait_us > spare_us * u64::from(self.settings.wait_percent) / 100 { Err(Reason::TooLate) } else { Ok(()) }
     }
 
-    fn take(&mut self, key: LaneKey, deadline: TimeUs) -> Offer {
+    fn take(&mut self, key: LaneKey, deadline: TimeUs, trial_halvings: u32) -> Offer {
         let lane = &mut self.lanes[key];
         let presence = Presence { _kind: self.kinds[lane.kind as usize].enter(), _profile: lane.profile.enter() };
         if lane.is_free() {
-            return Offer::Run(Pass { lane: key, presence, _running: lane.running.enter() });
+            return Offer::Run(Pass { lane: key, presence, _running: lane.running.enter(), trial_halvings });
         }
         self.sequence += 1;
         let wait = WaitKey { deadline, sequence: self.sequence };
@@ -349,7 +357,7 @@
             return None;
         }
         let Waiting { key: wait, presence } = lane.waiting.pop_front()?;
-        Some(Next::Run(wait, Pass { lane: key, presence, _running: lane.running.enter() }))
+        Some(Next::Run(wait, Pass { lane: key, presence, _running: lane.running.enter(), trial_halvings: 0 }))
     }
 
     /// Forgets a waiting request whose caller is gone.
@@ -360,7 +368,7 @@
     /// Ends a request that was sent, and adapts the limit.
     pub fn finish(&mut self, pass: Pass, ended: Ended, now: TimeUs) {
         if let Some(lane) = self.lanes.get_mut(pass.lane) {
-            lane.finish(ended, now);
+            lane.finish(ended, pass.trial_halvings, now);
         }
     }
 
--- a/crates/core/src/admission/lane.rs
+++ b/crates/core/src/admission/lane.rs
@@ -10,6 +10,9 @@
 
 /// A deadline is called safe if it leaves the mean time of an answer and this many mean deviations.
 const SAFE_DEVIATIONS: f32 = 3.0;
+/// The estimate of an idle service is halved for each span of its own length without an answer, or of this length if that
+/// is longer. One second is what callers are told to wait when no endpoint is known.
+const MIN_HALVING_US: u64 = 1_000_000;
 
 #[derive(Debug)]
 pub(super) struct Waiting {
@@ -28,6 +31,8 @@
     pub(super) waiting: VecDeque<Waiting>,
     /// No request is sent before this, because no endpoint had room.
     pub(super) paused_until: TimeUs,
+    /// The last time at which a request ended or a trial began.
+    quiet_since: TimeUs,
 }
 
 impl Lane {
@@ -40,6 +45,7 @@
             limit: Limit::new(),
             waiting: VecDeque::new(),
             paused_until: TimeUs(0),
+            quiet_since: TimeUs(0),
         }
     }
 
@@ -66,6 +72,25 @@
         (self.limit.mean_us() + SAFE_DEVIATIONS * self.limit.deviation_us()) as u64
     }
 
+    /// Lets a request through as a trial although its deadline is not safe, and says how often the estimate is to be halved
+    /// for that. Only one request at a time tries an idle service.
+    ///
+    /// Answers are the only thing that corrects the estimate. A service that refused all requests because of it would never
+    /// see another answer.
+    pub(super) fn begin_trial(&mut self, deadline: TimeUs, now: TimeUs) -> Option<u32> {
+        if self.running.get() > 0 || !self.is_free() {
+            return None;
+        }
+        let safe_us = self.safe_us();
+        let halvings = (now.since_us(self.quiet_since) / safe_us.max(MIN_HALVING_US)).min(u64::from(u32::MAX)) as u32;
+        let expected_us = safe_us.checked_shr(halvings).unwrap_or(0);
+        if halvings == 0 || deadline.since_us(now) <= expected_us {
+            return None;
+        }
+        self.quiet_since = now;
+        Some(halvings)
+    }
+
     /// How long a new request with this deadline would wait.
     pub(super) fn wait_us(&self, deadline: TimeUs) -> u64 {
         let ahead = self.waiting.partition_point(|waiting| waiting.key.deadline <= deadline);
@@ -91,8 +116,14 @@
         found.ok().and_then(|place| self.waiting.remove(place)).is_some()
     }
 
-    pub(super) fn finish(&mut self, ended: Ended, now: TimeUs) {
+    pub(super) fn finish(&mut self, ended: Ended, trial_halvings: u32, now: TimeUs) {
         self.paused_until = TimeUs(0);
+        self.quiet_since = now;
+        if let Ended::Answered { .. } = ended
+            && trial_halvings > 0
+        {
+            self.limit.forget(trial_halvings);
+        }
         if let Ended::Answered { took_us } = ended {
             self.limit.answered(took_us, self.running.get(), now);
         }
--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -83,9 +83,7 @@
     pub(super) fn answered(&mut self, took_us: u64, running: u32, now: TimeUs) {
         let took = took_us as f32;
         self.answers = (self.answers + 1).min(MIN_ANSWERS);
-        let difference = took - self.mean_us;
-        self.mean_us += difference / self.answers as f32;
-        self.deviation_us += (difference.abs() - self.deviation_us) / self.answers as f32;
+        self.learn(took);
         self.roll(now);
         if self.answers == MIN_ANSWERS {
             self.lowest_us = self.lowest_us.min(self.mean_us);
@@ -105,6 +103,25 @@
         }
     }
 
+    /// Halves the estimates so many times and counts all earlier answers as one, so that the next answer weighs as much as
+    /// they do.
+    pub(super) fn forget(&mut self, halvings: u32) {
+        let factor = 0.5f32.powi(halvings as i32);
+        (self.mean_us, self.deviation_us) = (self.mean_us * factor, self.deviation_us * factor);
+        self.answers = self.answers.min(1);
+    }
+
+    fn learn(&mut self, took_us: f32) {
+        if self.answers == 1 {
+            // RFC 6298, section 2.2: half of the first measurement stands for the deviation that is not known yet.
+            (self.mean_us, self.deviation_us) = (took_us, took_us / 2.0);
+            return;
+        }
+        let difference = took_us - self.mean_us;
+        self.mean_us += difference / self.answers as f32;
+        self.deviation_us += (difference.abs() - self.deviation_us) / self.answers as f32;
+    }
+
     pub(super) fn full(&mut self, now: TimeUs) {
         self.full_at = now;
         self.value = (self.value - FULL_STEP).max(MIN.min(self.max));
