--- a/crates/core/src/admission/lane.rs
+++ b/crates/core/src/admission/lane.rs
@@ -13,6 +13,8 @@
 /// The estimate of an idle service is halved for each span of its own length without an answer, or of this length if that
 /// is longer. One second is what callers are told to wait when no endpoint is known.
 const MIN_HALVING_US: u64 = 1_000_000;
+/// The most bits that a `u64` can be shifted by; the estimate is zero long before.
+const MAX_HALVINGS: u64 = 63;
 
 #[derive(Debug)]
 pub(super) struct Waiting {
@@ -82,8 +84,8 @@
             return None;
         }
         let safe_us = self.safe_us();
-        let halvings = (now.since_us(self.quiet_since) / safe_us.max(MIN_HALVING_US)).min(u64::from(u32::MAX)) as u32;
-        let expected_us = safe_us.checked_shr(halvings).unwrap_or(0);
+        let halvings = (now.since_us(self.quiet_since) / safe_us.max(MIN_HALVING_US)).min(MAX_HALVINGS) as u32;
+        let expected_us = safe_us >> halvings;
         if halvings == 0 || deadline.since_us(now) <= expected_us {
             return None;
         }
@@ -119,12 +121,10 @@
     pub(super) fn finish(&mut self, ended: Ended, trial_halvings: u32, now: TimeUs) {
         self.paused_until = TimeUs(0);
         self.quiet_since = now;
-        if let Ended::Answered { .. } = ended
-            && trial_halvings > 0
-        {
-            self.limit.forget(trial_halvings);
-        }
         if let Ended::Answered { took_us } = ended {
+            if trial_halvings > 0 {
+                self.limit.forget(trial_halvings);
+            }
             self.limit.answered(took_us, self.running.get(), now);
         }
     }
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -257,7 +257,7 @@
     }
 }
 
-/// The variable part of a record and an allowance for the rest.
+/// Estimates the encoded size of a record: its variable part and a fixed margin for the rest.
 fn approximate_bytes(record: &Record) -> usize {
     const FIXED_BYTES: usize = 512;
     FIXED_BYTES
