--- /dev/null
+++ b/crates/core/src/jobs/hosts.rs
@@ -0,0 +1,187 @@
+//! The leader's view of the hosts and of what is assigned to them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::spec::{StepSpec, TaskRef};
+use crate::units::{Resources, TimeMs};
+
+/// The name of a host: that of the agent on it.
+pub type HostName = String;
+
+/// How many ends of runs are remembered to tell whether a host fails what it runs.
+const REMEMBERED_ENDS: u32 = 8;
+/// A host with this many failures among the remembered ends is avoided.
+const SUSPECT_FAILURES: u32 = 3;
+/// For how long a host is avoided after a refusal that was not for want of room, in milliseconds.
+const REFUSAL_MS: u64 = 1_000;
+/// For how long a host that fails runs is avoided before it is tried again, in milliseconds.
+const SUSPICION_MS: u64 = 4_000;
+
+plain! {
+    /// What an endpoint says of itself.
+    #[derive(Default)]
+    pub struct HostInfo {
+        /// The service that it belongs to.
+        pub service: String,
+        /// Its availability zone.
+        pub availability_zone: String,
+        /// Its labels; the rack is one of them.
+        pub labels: BTreeSet<String>,
+        /// What it has.
+        pub capacity: Resources,
+        /// Whether it has announced that it is leaving.
+        pub draining: bool,
+    }
+}
+
+/// A run that may exist on a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Placed {
+    pub run: u32,
+    pub resources: Resources,
+    pub background: bool,
+    pub serves: bool,
+}
+
+/// How a host is connected to the leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Link {
+    /// A session is open.
+    Connected,
+    /// The host's tasks are surely gone at this time.
+    Silent { lost_at: TimeMs },
+    /// The host's tasks are gone.
+    Lost,
+}
+
+/// One host.
+#[derive(Debug, Clone)]
+pub(super) struct Host {
+    pub link: Link,
+    pub incarnation: Option<u64>,
+    pub info: Option<HostInfo>,
+    /// Whether the leader has compared what the host runs with what is assigned to it.
+    pub reconciled: bool,
+    pub tasks: BTreeMap<TaskRef, Placed>,
+    used: Resources,
+    background_cpu_milli: u32,
+    serving: u32,
+    /// The latest ends, one bit each; 1 is a failure.
+    ends: u32,
+    avoid_until: TimeMs,
+}
+
+impl Host {
+    pub fn new(link: Link) -> Self {
+        Self {
+            link,
+            incarnation: None,
+            info: None,
+            reconciled: false,
+            tasks: BTreeMap::new(),
+            used: Resources::ZERO,
+            background_cpu_milli: 0,
+            serving: 0,
+            ends: 0,
+            avoid_until: TimeMs::default(),
+        }
+    }
+
+    /// Commits resources to a run.
+    pub fn add(&mut self, task: TaskRef, run: u32, step: &StepSpec) {
+        let mut resources = step.resources;
+        if step.background {
+            self.background_cpu_milli += resources.cpu_milli;
+            resources.cpu_milli = 0;
+        }
+        let serves = step.tail_target_ms.is_some();
+        self.serving += u32::from(serves);
+        self.used = self.used.plus(&resources);
+        let placed = Placed { run, resources: step.resources, background: step.background, serves };
+        if let Some(earlier) = self.tasks.insert(task, placed) {
+            self.release(&earlier);
+        }
+    }
+
+    /// Frees the resources of a run that is gone.
+    pub fn remove(&mut self, task: &TaskRef) -> Option<Placed> {
+        let placed = self.tasks.remove(task)?;
+        self.release(&placed);
+        Some(placed)
+    }
+
+    fn release(&mut self, placed: &Placed) {
+        let mut resources = placed.resources;
+        if placed.background {
+            self.background_cpu_milli -= resources.cpu_milli;
+            resources.cpu_milli = 0;
+        }
+        self.serving -= u32::from(placed.serves);
+        self.used = self.used.minus(&resources);
+    }
+
+    /// Remembers how a run ended.
+    pub fn ended(&mut self, failed: bool, now: TimeMs) {
+        let mask = (1 << REMEMBERED_ENDS) - 1;
+        self.ends = (self.ends << 1 | u32::from(failed)) & mask;
+        if failed && self.ends.count_ones() >= SUSPECT_FAILURES {
+            // One failure is kept, so that a host which still fails is avoided again soon.
+            self.ends = 1;
+            self.avoid_until = now.plus_ms(SUSPICION_MS);
+        }
+    }
+
+    /// The host refused a start for another reason than room.
+    pub fn refused(&mut self, now: TimeMs) {
+        self.avoid_until = self.avoid_until.max(now.plus_ms(REFUSAL_MS));
+    }
+
+    /// How many tasks of a step of one occurrence are assigned to the host.
+    pub fn tasks_of(&self, task: &TaskRef) -> usize {
+        let first = TaskRef { index: 0, ..*task };
+        let last = TaskRef { index: u32::MAX, ..*task };
+        self.tasks.range(first..=last).count()
+    }
+
+    /// Whether a task of `step` can be started here.
+    pub fn can_take(&self, task: &TaskRef, step: &StepSpec, service: &str, zones_out: &BTreeSet<String>) -> bool {
+        let Some(info) = &self.info else { return false };
+        if self.link != Link::Connected || !self.reconciled || info.draining || info.service != service {
+            return false;
+        }
+        if zones_out.contains(&info.availability_zone) {
+            return false;
+        }
+        if step.label.as_ref().is_some_and(|label| !info.labels.contains(label)) {
+            return false;
+        }
+        if step.per_host.is_some_and(|most| self.tasks_of(task) >= most as usize) {
+            return false;
+        }
+        let mut wanted = step.resources;
+        if step.background {
+            wanted.cpu_milli = 0;
+        }
+        wanted.fits_in(&info.capacity.minus(&self.used))
+    }
+
+    /// How good a place this is for a task of `step`; higher is better.
+    pub fn score(&self, step: &StepSpec, now: TimeMs) -> i64 {
+        let Some(info) = &self.info else { return i64::MIN };
+        let total = i64::from(info.capacity.cpu_milli.max(1));
+        let demand = i64::from(self.used.cpu_milli) + i64::from(self.background_cpu_milli);
+        // Thousandths of the host that stay free. Background work next to serving work is paced down, so it counts as if
+        // half of the host were in use.
+        let mut score = 1_000 - (demand + i64::from(step.resources.cpu_milli)) * 1_000 / total;
+        if step.background && self.serving > 0 {
+            score -= 500;
+        }
+        if step.rack.as_ref().is_some_and(|rack| info.labels.contains(rack)) {
+            score += 500;
+        }
+        if now < self.avoid_until {
+            score -= 10_000;
+        }
+        score
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs/scheduler.rs
@@ -0,0 +1,660 @@
+/*!
+The leader's decisions.
+
+Events change the state at once and mark jobs as changed. [`Scheduler::take`] hands out the changed jobs together with the
+effects that rest on them; the caller stores the jobs first and carries out the effects once the store has answered. An
+order that reaches a host is therefore always explained by a stored record, and an end is forgotten by its host only after
+the store has it.
+*/
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use super::{
+    hosts::{Host, HostInfo, HostName, Link},
+    lease::LeasePlan,
+    progress::{JobProgress, Phase, TaskState},
+    replica::Replica,
+    spec::{JobId, JobSpec, QueueSettings, StepSpec, TaskRef},
+};
+use crate::units::TimeMs;
+
+plain! {
+    /// A time, on both clocks.
+    #[derive(Copy, Default)]
+    pub struct Moment {
+        /// The monotonic clock of this process.
+        pub at: TimeMs,
+        /// Milliseconds since 1970.
+        pub unix_ms: u64,
+    }
+
+    /// How a run ended.
+    #[derive(Copy)]
+    pub enum End {
+        /// It succeeded.
+        Done,
+        /// It failed, by its own fault or that of the host.
+        Failed,
+        /// It was stopped, its lease ended, or its gang broke up. This says nothing about the task.
+        Interrupted,
+    }
+
+    /// The end of a run as a host reports it.
+    pub struct Ended {
+        /// The number of the end within the incarnation of the host's endpoint.
+        pub number: u64,
+        /// The task.
+        pub task: TaskRef,
+        /// The run.
+        pub run: u32,
+        /// How it ended.
+        pub end: End,
+        /// The latest checkpoint, if there is one.
+        pub checkpoint: Option<String>,
+    }
+
+    /// Why a host did not start a run. The run does not exist and never will.
+    #[derive(Copy)]
+    pub enum Rejection {
+        /// There is no room.
+        NoRoom,
+        /// The endpoint is unhealthy or leaving.
+        Unhealthy,
+        /// The endpoint has seen this run or a later one end.
+        Outdated,
+        /// The endpoint does not accept the order itself.
+        Malformed,
+    }
+
+    /// What is to be done once the records handed out with it are stored.
+    pub enum Effect {
+        /// Start a run, or describe it to the host again if it is there already.
+        Start {
+            /// Where.
+            host: HostName,
+            /// The incarnation of the host's endpoint.
+            incarnation: u64,
+            /// The task.
+            task: TaskRef,
+            /// The run.
+            run: u32,
+            /// The job, for the payload and the step.
+            spec: Arc<JobSpec>,
+            /// The checkpoint to go on from.
+            checkpoint: Option<String>,
+        },
+        /// Stop a run if it is there, and keep it from starting if it is not.
+        Stop {
+            /// Where.
+            host: HostName,
+            /// The task.
+            task: TaskRef,
+            /// The run.
+            run: u32,
+        },
+        /// The ends up to this number are stored; the host may forget them.
+        Forget {
+            /// Which host.
+            host: HostName,
+            /// The incarnation of the host's endpoint.
+            incarnation: u64,
+            /// The number of the latest such end.
+            up_to: u64,
+        },
+    }
+
+    /// Jobs to store, then effects to carry out.
+    #[derive(Default)]
+    pub struct Batch {
+        /// The changed jobs.
+        pub records: Vec<(JobId, JobProgress)>,
+        /// What rests on them.
+        pub effects: Vec<Effect>,
+    }
+}
+
+/// A step of one occurrence with tasks that wait, in the order in which steps are served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ReadyKey {
+    priority: u8,
+    accepted: u64,
+    job: JobId,
+    occurrence: u32,
+    step: u32,
+}
+
+#[derive(Debug)]
+struct Job {
+    spec: Arc<JobSpec>,
+    progress: JobProgress,
+    accepted: u64,
+    ready: Vec<ReadyKey>,
+    /// Hosts on which runs of a task have failed.
+    failed_on: BTreeMap<TaskRef, BTreeSet<HostName>>,
+}
+
+/// The leader's state.
+#[derive(Debug)]
+pub struct Scheduler {
+    plan: LeasePlan,
+    queues: BTreeMap<String, QueueSettings>,
+    zones_out: BTreeSet<String>,
+    jobs: BTreeMap<JobId, Job>,
+    hosts: BTreeMap<HostName, Host>,
+    ready: BTreeSet<ReadyKey>,
+    /// Occurrences that are not due yet, by the time when they are.
+    due: BTreeSet<(u64, JobId)>,
+    accepted: u64,
+    changed: BTreeSet<JobId>,
+    effects: Vec<Effect>,
+    place_again: bool,
+}
+
+impl Scheduler {
+    /// Takes over from the records that are stored. `known_hosts` are the hosts that may run something.
+    pub fn new(
+        plan: LeasePlan,
+        replica: &Replica,
+        known_hosts: impl IntoIterator<Item = HostName>,
+        now: Moment,
+    ) -> Self {
+        let mut scheduler = Self {
+            plan,
+            queues: BTreeMap::new(),
+            zones_out: BTreeSet::new(),
+            jobs: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            due: BTreeSet::new(),
+            accepted: 0,
+            changed: BTreeSet::new(),
+            effects: Vec::new(),
+            place_again: true,
+        };
+        let silent = Link::Silent { lost_at: plan.lost_after_takeover(now.at) };
+        for host in known_hosts {
+            scheduler.hosts.insert(host, Host::new(silent));
+        }
+        for (job, copy) in replica.jobs() {
+            let Some(spec) = copy.spec.clone() else { continue };
+            let progress = copy.progress.clone().filter(|progress| progress.fits(&spec));
+            scheduler.restore(job, spec, progress, silent, now);
+            if copy.cancelled {
+                scheduler.cancelled(job, now);
+            }
+        }
+        scheduler
+    }
+
+    fn restore(&mut self, id: JobId, spec: Arc<JobSpec>, progress: Option<JobProgress>, silent: Link, now: Moment) {
+        let progress = progress.unwrap_or_else(|| JobProgress::new(&spec));
+        for (task, host, incarnation, run) in assigned(id, &progress) {
+            let host = self.hosts.entry(host).or_insert_with(|| Host::new(silent));
+            // Only one incarnation of an endpoint is alive, the latest. Runs on earlier ones are found to be gone when the
+            // host is compared with its assignments.
+            host.incarnation = host.incarnation.max(Some(incarnation));
+            if let Some(step) = spec.steps.get(task.step as usize) {
+                host.add(task, run, step);
+            }
+        }
+        self.accepted += 1;
+        let job = Job { spec, progress, accepted: self.accepted, ready: Vec::new(), failed_on: BTreeMap::new() };
+        self.jobs.insert(id, job);
+        self.refresh(id, now);
+    }
+
+    /// A configuration came into force: the queues by name.
+    pub fn set_queues(&mut self, queues: BTreeMap<String, QueueSettings>, now: Moment) {
+        self.queues = queues;
+        let jobs: Vec<_> = self.jobs.keys().copied().collect();
+        jobs.into_iter().for_each(|job| self.refresh(job, now));
+    }
+
+    /// The availability zones that are out of service.
+    pub fn set_zones_out(&mut self, zones_out: BTreeSet<String>) {
+        self.zones_out = zones_out;
+        self.place_again = true;
+    }
+
+    /// A client submitted a job. Known ids are left as they are.
+    pub fn submitted(&mut self, id: JobId, spec: Arc<JobSpec>, now: Moment) {
+        if !self.jobs.contains_key(&id) {
+            self.restore(id, spec, None, Link::Lost, now);
+        }
+    }
+
+    /// A client cancelled a job.
+    pub fn cancelled(&mut self, id: JobId, now: Moment) {
+        if self.jobs.get(&id).is_some_and(|job| job.progress.phase == Phase::Active) {
+            self.end_job(id, Phase::Cancelled, now);
+        }
+    }
+
+    /// A host is known to exist.
+    pub fn host_known(&mut self, host: &HostName) {
+        self.hosts.entry(host.clone()).or_insert_with(|| Host::new(Link::Lost));
+    }
+
+    /// A session with a host opened. Nothing starts there until [`Self::host_runs`].
+    pub fn host_connected(&mut self, name: &HostName) {
+        let host = self.hosts.entry(name.clone()).or_insert_with(|| Host::new(Link::Lost));
+        host.link = Link::Connected;
+        host.reconciled = false;
+    }
+
+    /// The session with a host ended. `answered` is when the leader last answered the host, if it ever did.
+    pub fn host_disconnected(&mut self, name: &HostName, answered: Option<TimeMs>, now: Moment) {
+        let plan = self.plan;
+        if let Some(host) = self.hosts.get_mut(name) {
+            let lost_at = answered.map_or(plan.lost_after_takeover(now.at), |at| plan.lost_after_answer(at));
+            host.link = Link::Silent { lost_at };
+            host.reconciled = false;
+        }
+    }
+
+    /// What a host's endpoint says of itself; `None` if it does not speak.
+    pub fn host_info(&mut self, name: &HostName, info: Option<HostInfo>) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.info = info;
+            self.place_again = true;
+        }
+    }
+
+    /// What runs on a host, after all ends that the host had to report. Runs that the leader knows nothing of are stopped;
+    /// runs that are assigned are started or described again.
+    pub fn host_runs(&mut self, name: &HostName, incarnation: u64, running: &[(TaskRef, u32)], now: Moment) {
+        if self.hosts.get(name).is_some_and(|host| host.incarnation != Some(incarnation)) {
+            self.host_lost(name, now);
+        }
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        host.incarnation = Some(incarnation);
+        host.reconciled = true;
+        let placed: Vec<_> = host.tasks.iter().map(|(task, placed)| (*task, placed.run)).collect();
+        for (task, run) in placed {
+            let job = self.jobs.get(&task.job);
+            let current = job.and_then(|job| Some((job, job.progress.task(&task)?)));
+            match current {
+                Some((job, progress)) if progress.is_at(name, incarnation, run) => {
+                    if job.progress.phase == Phase::Active {
+                        self.effects.push(Effect::Start {
+                            host: name.clone(),
+                            incarnation,
+                            task,
+                            run,
+                            spec: job.spec.clone(),
+                            checkpoint: progress.checkpoint.clone(),
+                        });
+                    } else {
+                        self.effects.push(Effect::Stop { host: name.clone(), task, run });
+                    }
+                }
+                // Assigned to an earlier incarnation of this host, which is gone.
+                _ => {
+                    self.run_gone(name, &task, End::Interrupted, None, now);
+                }
+            }
+        }
+        let host = &self.hosts[name];
+        for &(task, run) in running {
+            if host.tasks.get(&task).is_none_or(|placed| placed.run != run) {
+                self.effects.push(Effect::Stop { host: name.clone(), task, run });
+            }
+        }
+        self.place_again = true;
+    }
+
+    /// A run ended.
+    pub fn ended(&mut self, name: &HostName, incarnation: u64, ended: &Ended, now: Moment) {
+        let job = self.jobs.get(&ended.task.job);
+        let at_host = job
+            .and_then(|job| job.progress.task(&ended.task))
+            .is_some_and(|task| task.is_at(name, incarnation, ended.run));
+        if at_host {
+            if ended.end != End::Interrupted
+                && let Some(host) = self.hosts.get_mut(name)
+            {
+                host.ended(ended.end == End::Failed, now.at);
+            }
+            self.run_gone(name, &ended.task, ended.end, ended.checkpoint.clone(), now);
+        }
+        self.effects.push(Effect::Forget { host: name.clone(), incarnation, up_to: ended.number });
+    }
+
+    /// A host did not start a run.
+    pub fn rejected(
+        &mut self,
+        name: &HostName,
+        incarnation: u64,
+        task: &TaskRef,
+        run: u32,
+        reason: Rejection,
+        now: Moment,
+    ) {
+        let job = self.jobs.get(&task.job);
+        let at_host = job.and_then(|job| job.progress.task(task)).is_some_and(|t| t.is_at(name, incarnation, run));
+        if !at_host {
+            return;
+        }
+        if reason != Rejection::Outdated
+            && let Some(host) = self.hosts.get_mut(name)
+        {
+            host.refused(now.at);
+        }
+        let end = if reason == Rejection::Malformed { End::Failed } else { End::Interrupted };
+        self.run_gone(name, task, end, None, now);
+    }
+
+    /// A checkpoint of a run that goes on.
+    pub fn checkpoint(&mut self, name: &HostName, incarnation: u64, task: &TaskRef, run: u32, checkpoint: String) {
+        if let Some(job) = self.jobs.get_mut(&task.job)
+            && let Some(progress) = job.progress.task_mut(task)
+            && progress.is_at(name, incarnation, run)
+        {
+            // Stored with the next change of the job; until then it is only known to this leader and to the host.
+            progress.checkpoint = Some(checkpoint);
+        }
+    }
+
+    /// All runs on a host are gone.
+    pub fn host_lost(&mut self, name: &HostName, now: Moment) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        if host.link != Link::Connected {
+            host.link = Link::Lost;
+        }
+        let tasks: Vec<_> = host.tasks.keys().copied().collect();
+        for task in tasks {
+            self.run_gone(name, &task, End::Interrupted, None, now);
+        }
+    }
+
+    /// Finds hosts whose leases have ended, makes due occurrences ready, and places what waits.
+    pub fn tick(&mut self, now: Moment) {
+        let lost: Vec<_> = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| matches!(host.link, Link::Silent { lost_at } if lost_at <= now.at))
+            .map(|(name, _)| name.clone())
+            .collect();
+        lost.iter().for_each(|name| self.host_lost(name, now));
+        while let Some(&(at, job)) = self.due.first().filter(|(at, _)| *at <= now.unix_ms) {
+            self.due.remove(&(at, job));
+            self.refresh(job, now);
+        }
+        self.place(now.at);
+    }
+
+    /// The hosts that are silent with runs on them that have not been given up.
+    pub fn silent_hosts(&self) -> impl Iterator<Item = (&HostName, usize)> {
+        self.hosts
+            .iter()
+            .filter(|(_, host)| matches!(host.link, Link::Silent { .. }) && !host.tasks.is_empty())
+            .map(|(name, host)| (name, host.tasks.len()))
+    }
+
+    /// The number of steps with waiting tasks.
+    pub fn waiting_steps(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// Whether there is anything to store or to carry out.
+    pub fn has_output(&self) -> bool {
+        !self.changed.is_empty() || !self.effects.is_empty()
+    }
+
+    /// Takes the changed jobs and the effects that rest on them.
+    pub fn take(&mut self) -> Batch {
+        let changed = std::mem::take(&mut self.changed);
+        let records =
+            changed.into_iter().filter_map(|id| self.jobs.get(&id).map(|job| (id, job.progress.clone()))).collect();
+        Batch { records, effects: std::mem::take(&mut self.effects) }
+    }
+
+    /// The run of `task` on `host` is gone; the task waits again, or has ended.
+    fn run_gone(&mut self, name: &HostName, task: &TaskRef, end: End, checkpoint: Option<String>, now: Moment) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.remove(task);
+        }
+        self.place_again = true;
+        let max_failures = self.max_failures(&task.job);
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(step) = job.spec.steps.get(task.step as usize).cloned() else { return };
+        let Some(progress) = job.progress.task_mut(task) else { return };
+        if checkpoint.is_some() {
+            progress.checkpoint = checkpoint;
+        }
+        let run = progress.run;
+        progress.state = TaskState::Waiting;
+        let mut failed = false;
+        match end {
+            End::Done => progress.state = TaskState::Done,
+            End::Failed => {
+                progress.failures += 1;
+                failed = !step.long_running && progress.failures >= max_failures;
+                job.failed_on.entry(*task).or_default().insert(name.clone());
+            }
+            End::Interrupted => {}
+        }
+        self.changed.insert(task.job);
+        if end == End::Done && step.gang {
+            self.gang_done(task, run);
+        }
+        let job = &self.jobs[&task.job];
+        if job.progress.phase == Phase::Active {
+            if failed {
+                self.end_job(task.job, Phase::Failed, now);
+            } else if job.progress.all_done() {
+                self.end_job(task.job, Phase::Completed, now);
+            } else {
+                self.refresh(task.job, now);
+            }
+        }
+    }
+
+    /// One member of a gang succeeded, so all of that run did.
+    fn gang_done(&mut self, task: &TaskRef, run: u32) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let tasks = &mut job.progress.occurrences[task.occurrence as usize][task.step as usize];
+        for (index, progress) in tasks.iter_mut().enumerate().filter(|(_, progress)| progress.run == run) {
+            if let TaskState::Assigned { host, .. } = &progress.state
+                && let Some(host) = self.hosts.get_mut(host)
+            {
+                host.remove(&TaskRef { index: index as u32, ..*task });
+            }
+            progress.state = TaskState::Done;
+        }
+    }
+
+    /// Ends a job and stops what still runs of it.
+    fn end_job(&mut self, id: JobId, phase: Phase, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.progress.phase = phase;
+        for (task, host, _, run) in assigned(id, &job.progress) {
+            self.effects.push(Effect::Stop { host, task, run });
+        }
+        self.changed.insert(id);
+        self.refresh(id, now);
+    }
+
+    fn settings<'s>(&'s self, spec: &'s JobSpec) -> &'s QueueSettings {
+        self.queues.get(&spec.queue).unwrap_or(&spec.settings)
+    }
+
+    fn max_failures(&self, id: &JobId) -> u32 {
+        self.jobs.get(id).map_or(1, |job| self.settings(&job.spec).max_failures.max(1))
+    }
+
+    /// Finds the steps of a job that have waiting tasks and may run.
+    fn refresh(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let priority = self.settings(&job.spec).priority;
+        let accepted = job.accepted;
+        let mut ready = Vec::new();
+        if job.progress.phase == Phase::Active {
+            for (occurrence, steps) in (0..).zip(&job.progress.occurrences) {
+                if let Some(due) = job.spec.due_unix_ms(occurrence).filter(|due| *due > now.unix_ms) {
+                    self.due.insert((due, id));
+                    continue;
+                }
+                for (step, tasks) in (0..).zip(steps) {
+                    let waits = tasks.iter().any(|task| task.state == TaskState::Waiting);
+                    let after = &job.spec.steps[step as usize].after;
+                    if waits && after.iter().all(|&on| job.progress.step_done(occurrence, on)) {
+                        ready.push(ReadyKey { priority, accepted, job: id, occurrence, step });
+                    }
+                }
+            }
+        }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        for key in job.ready.drain(..) {
+            self.ready.remove(&key);
+        }
+        self.ready.extend(ready.iter().copied());
+        job.ready = ready;
+        self.place_again = true;
+    }
+
+    /// Places waiting tasks, the most urgent first. A step that does not fit does not hold up the ones behind it.
+    fn place(&mut self, now: TimeMs) {
+        if !std::mem::take(&mut self.place_again) {
+            return;
+        }
+        let keys: Vec<_> = self.ready.iter().copied().collect();
+        for key in keys {
+            self.place_step(&key, now);
+        }
+    }
+
+    fn place_step(&mut self, key: &ReadyKey, now: TimeMs) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let spec = job.spec.clone();
+        let Some(step) = spec.steps.get(key.step as usize) else { return };
+        let service = self.settings(&spec).service.clone();
+        let tasks = &job.progress.occurrences[key.occurrence as usize][key.step as usize];
+        let task_ref =
+            |index: usize| TaskRef { job: key.job, occurrence: key.occurrence, step: key.step, index: index as u32 };
+        let waiting: Vec<_> = tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, task)| task.state == TaskState::Waiting)
+            .map(|(index, task)| (task_ref(index), task.run))
+            .collect();
+        if step.gang {
+            self.place_gang(&spec, step, &service, &waiting, tasks.len(), now);
+        } else {
+            for (task, run) in &waiting {
+                let Some(host) = self.best_host(task, step, &service, None, now) else { break };
+                self.assign(task, run + 1, host, &spec);
+            }
+        }
+        let still_waits = self.jobs[&key.job].progress.occurrences[key.occurrence as usize][key.step as usize]
+            .iter()
+            .any(|task| task.state == TaskState::Waiting);
+        if !still_waits {
+            self.ready.remove(key);
+        }
+    }
+
+    /// Places all tasks of a gang at once or none. They share the number of the run.
+    fn place_gang(
+        &mut self,
+        spec: &Arc<JobSpec>,
+        step: &StepSpec,
+        service: &str,
+        waiting: &[(TaskRef, u32)],
+        tasks: usize,
+        now: TimeMs,
+    ) {
+        // Members of the last run may still be ending.
+        if waiting.len() < tasks {
+            return;
+        }
+        let run = waiting.iter().map(|(_, run)| run).max().map_or(1, |run| run + 1);
+        let mut racks: Vec<Option<String>> = vec![None];
+        if step.same_rack {
+            let labels: BTreeSet<_> = self
+                .hosts
+                .values()
+                .filter_map(|host| host.info.as_ref())
+                .flat_map(|info| info.labels.iter().cloned())
+                .collect();
+            racks = labels.into_iter().map(Some).chain([None]).collect();
+        }
+        for rack in racks {
+            let mut chosen = Vec::new();
+            for (task, _) in waiting {
+                let Some(host) = self.best_host(task, step, service, rack.as_deref(), now) else { break };
+                if let Some(host) = self.hosts.get_mut(&host) {
+                    host.add(*task, run, step);
+                }
+                chosen.push((*task, host));
+            }
+            for (task, host) in &chosen {
+                if let Some(host) = self.hosts.get_mut(host) {
+                    host.remove(task);
+                }
+            }
+            if chosen.len() == waiting.len() {
+                for (task, host) in chosen {
+                    self.assign(&task, run, host, spec);
+                }
+                return;
+            }
+        }
+    }
+
+    /// The best host that can take a task; linear in the number of hosts.
+    fn best_host(
+        &self,
+        task: &TaskRef,
+        step: &StepSpec,
+        service: &str,
+        label: Option<&str>,
+        now: TimeMs,
+    ) -> Option<HostName> {
+        let failed_on = self.jobs.get(&task.job).and_then(|job| job.failed_on.get(task));
+        self.hosts
+            .iter()
+            .filter(|(_, host)| host.can_take(task, step, service, &self.zones_out))
+            .filter(|(_, host)| {
+                label.is_none_or(|label| host.info.as_ref().is_some_and(|info| info.labels.contains(label)))
+            })
+            .max_by_key(|(name, host)| {
+                let failed_here = failed_on.is_some_and(|hosts| hosts.contains(*name));
+                host.score(step, now) - if failed_here { 5_000 } else { 0 }
+            })
+            .map(|(name, _)| name.clone())
+    }
+
+    fn assign(&mut self, task: &TaskRef, run: u32, name: HostName, spec: &Arc<JobSpec>) {
+        let Some(host) = self.hosts.get_mut(&name) else { return };
+        let Some(incarnation) = host.incarnation else { return };
+        let Some(step) = spec.steps.get(task.step as usize) else { return };
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(progress) = job.progress.task_mut(task) else { return };
+        host.add(*task, run, step);
+        progress.run = run;
+        progress.state = TaskState::Assigned { host: name.clone(), incarnation };
+        let checkpoint = progress.checkpoint.clone();
+        job.progress.begun = true;
+        self.changed.insert(task.job);
+        self.effects.push(Effect::Start { host: name, incarnation, task: *task, run, spec: spec.clone(), checkpoint });
+    }
+}
+
+/// The runs of a job that may exist.
+fn assigned(job: JobId, progress: &JobProgress) -> Vec<(TaskRef, HostName, u64, u32)> {
+    let mut found = Vec::new();
+    for (occurrence, steps) in (0..).zip(&progress.occurrences) {
+        for (step, tasks) in (0..).zip(steps) {
+            for (index, task) in (0..).zip(tasks) {
+                if let TaskState::Assigned { host, incarnation } = &task.state {
+                    found.push((TaskRef { job, occurrence, step, index }, host.clone(), *incarnation, task.run));
+                }
+            }
+        }
+    }
+    found
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -45,6 +45,7 @@
 * [`lease`], [`promise`], [`capacity`], [`writer`]: ownership of work and capacity.
 * [`runner`] and [`entry`]: the control of an agent and of an entry, put together from these.
 * [`request_keys`]: which non-idempotent requests an agent has seen or refused.
+* [`jobs`]: jobs of many tasks, decided by one leader over the platform's store.
 * [`placement`], [`interference`], [`estimate`], [`suspect`], [`queue`]: decisions on tasks.
 * [`balance`], [`slots`], [`admission`], [`retry`], [`detect`]: the path of requests.
 * [`balance`], [`slots`], [`admission`], [`retry`], [`detect`]: the path of requests.
@@ -69,6 +70,7 @@
 pub mod explain;
 pub mod ids;
 pub mod interference;
+pub mod jobs;
 pub mod lease;
 #[doc(hidden)]
 pub mod mutation;
--- /dev/null
+++ b/crates/fleet/src/entry.rs
@@ -0,0 +1,495 @@
+/*!
+An entry: it takes jobs from clients, keeps a copy of all jobs, and may be the leader.
+
+A job is accepted by appending it to the store, whoever leads and whether anyone does. The leader reads it from there.
+Every entry follows the store, so that it can answer for every job and can take over at once.
+*/
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use fescuelead_core::{
+    jobs::{HostName, JobId, JobSpec, JobStatus, Replica, lease::LeasePlan, replica::JobCopy},
+    units::TimeMs,
+};
+use rand::RngExt;
+use tokio::{
+    sync::{Notify, mpsc},
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    clock::Clock,
+    directory::{Directory, OperatorChange, Route},
+    leader::{self, LeaderEvent},
+    session::Leading,
+    store::{JobRecord, Page, Record, Store, StoreError, Stream},
+};
+
+/// How long a read waits for records, in milliseconds. An entry whose reads fail for longer than a few of these knows that
+/// its view is old.
+const READ_WAIT_MS: u64 = 1_500;
+/// The pause between two reads of the leader's records by other entries, in milliseconds: the lag of what they show.
+const FOLLOW_SPACING_MS: u64 = 100;
+/// The pause between two reads of submissions by entries that do not lead, in milliseconds.
+const SUBMISSIONS_SPACING_MS: u64 = 300;
+/// The longest pause after a failed call to the store, in milliseconds.
+const LONGEST_PAUSE_MS: u64 = 400;
+/// The first such pause, in milliseconds.
+const FIRST_PAUSE_MS: u64 = 30;
+/// How often an entry renews its membership while it lasts.
+const RENEWALS_PER_TTL: u64 = 4;
+/// How long a call to the store may take, in milliseconds: a hundred times the usual.
+const STORE_CALL_MS: u64 = 600;
+
+/// The settings of an entry.
+#[derive(Debug, Clone)]
+pub struct EntryConfig {
+    /// The name, for logs.
+    pub name: String,
+    /// How long a membership lasts without renewal, in milliseconds.
+    pub ttl_ms: u64,
+    /// The time limits of leases.
+    pub plan: LeasePlan,
+    /// The clocks.
+    pub clock: Clock,
+    /// Reads a record of [`Stream::Operator`].
+    pub read_operator: fn(&Record) -> Result<OperatorChange, String>,
+}
+
+/// Why a request of a client was not carried out.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum RequestError {
+    /// It did not take effect and will not.
+    #[error("the request was not carried out ({0}); send it again")]
+    NotDone(String),
+    /// It may have taken effect.
+    #[error("it is not known whether the request was carried out ({0}); send it again with the same id")]
+    Unknown(String),
+}
+
+/// Where a request is to go.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Lookup {
+    /// No configuration has been read yet.
+    NotConfigured,
+    /// No such queue exists.
+    NoRoute,
+    /// The route of the queue.
+    Found(Route),
+}
+
+#[derive(Default)]
+struct State {
+    replica: Replica,
+    next: BTreeMap<Stream, u64>,
+    hosts: BTreeMap<HostName, String>,
+    directory: Option<Directory>,
+    zones_out: BTreeSet<String>,
+    leader: Option<mpsc::UnboundedSender<LeaderEvent>>,
+}
+
+/// An entry.
+pub struct Entry {
+    pub(crate) config: EntryConfig,
+    pub(crate) store: Box<dyn Store>,
+    state: RefCell<State>,
+    leading: Cell<bool>,
+    leading_changed: Notify,
+}
+
+impl Entry {
+    /// Makes an entry.
+    pub fn new(config: EntryConfig, store: Box<dyn Store>) -> Rc<Self> {
+        Rc::new(Self {
+            config,
+            store,
+            state: RefCell::default(),
+            leading: Cell::new(false),
+            leading_changed: Notify::new(),
+        })
+    }
+
+    /// Follows the store and takes part in the choice of the leader. Stops to take part at `stop`, but goes on to follow, so
+    /// that requests can be answered until the process ends.
+    pub async fn run(self: Rc<Self>, stop: CancellationToken) {
+        let streams = [Stream::Operator, Stream::Hosts, Stream::Jobs, Stream::Progress];
+        for stream in streams {
+            spawn_local(self.clone().follow(stream));
+        }
+        self.clone().take_part(stop).await;
+    }
+
+    /// Whether the entry has read everything that it needs to answer clients.
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        state.directory.is_some()
+            && state.next.contains_key(&Stream::Jobs)
+            && state.next.contains_key(&Stream::Progress)
+    }
+
+    /// The version of the configuration in force.
+    pub fn version(&self) -> Option<u64> {
+        self.state.borrow().directory.as_ref().map(|directory| directory.version)
+    }
+
+    /// Finds the queue of a request.
+    pub fn route(&self, host: &str, path: &str) -> Lookup {
+        match &self.state.borrow().directory {
+            None => Lookup::NotConfigured,
+            Some(directory) => directory.route(host, path).cloned().map_or(Lookup::NoRoute, Lookup::Found),
+        }
+    }
+
+    /// Accepts a job. A job whose id is known already is left as it is.
+    ///
+    /// # Errors
+    ///
+    /// See [`RequestError`].
+    pub async fn submit(&self, job: JobId, spec: JobSpec, deadline: TimeMs) -> Result<(), RequestError> {
+        if self.state.borrow().replica.job(job).is_some_and(|copy| copy.spec.is_some()) {
+            return Ok(());
+        }
+        let record = JobRecord::submitted(job, &spec).map_err(|e| RequestError::NotDone(e.to_string()))?;
+        self.append_request(record, deadline).await?;
+        let mut state = self.state.borrow_mut();
+        if state.replica.submitted(job, spec) {
+            state.tell_submitted(job);
+        }
+        Ok(())
+    }
+
+    /// Cancels a job. Returns whether it exists.
+    ///
+    /// # Errors
+    ///
+    /// See [`RequestError`].
+    pub async fn cancel(&self, job: JobId, deadline: TimeMs) -> Result<bool, RequestError> {
+        let Some(status) = self.status(job).await? else { return Ok(false) };
+        if !matches!(status, JobStatus::Queued | JobStatus::Active) {
+            return Ok(true);
+        }
+        self.append_request(JobRecord::cancelled(job), deadline).await?;
+        let mut state = self.state.borrow_mut();
+        if state.replica.cancelled(job) {
+            state.tell(LeaderEvent::Cancelled(job));
+        }
+        Ok(true)
+    }
+
+    /// The status of a job; `None` if there is no such job.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the job is not known here and the store cannot be asked.
+    pub async fn status(&self, job: JobId) -> Result<Option<JobStatus>, RequestError> {
+        let known = self.state.borrow().replica.job(job).and_then(JobCopy::status);
+        if known.is_some() {
+            return Ok(known);
+        }
+        // Another entry may have accepted it a moment ago.
+        self.catch_up(Stream::Jobs).await.map_err(|e| RequestError::NotDone(e.to_string()))?;
+        Ok(self.state.borrow().replica.job(job).and_then(JobCopy::status))
+    }
+
+    /// The number of accepted jobs of a queue of which no task has started.
+    pub fn pending(&self, queue: &str) -> usize {
+        self.state.borrow().replica.pending(queue)
+    }
+
+    /// Appends a client's record, and repeats this while the outcome is unknown and there is time.
+    async fn append_request(&self, record: Record, deadline: TimeMs) -> Result<(), RequestError> {
+        let records = [record];
+        let mut unknown = None;
+        let mut pause_ms = FIRST_PAUSE_MS;
+        loop {
+            let error = match self.bounded(self.store.append(Stream::Jobs, &records, None)).await {
+                Ok(_) => return Ok(()),
+                Err(error) => error,
+            };
+            if let StoreError::Unknown(message) = &error {
+                unknown = Some(message.clone());
+            }
+            if self.config.clock.now().plus_ms(pause_ms) >= deadline {
+                return Err(match unknown {
+                    Some(message) => RequestError::Unknown(message),
+                    None => RequestError::NotDone(error.to_string()),
+                });
+            }
+            pause(&mut pause_ms).await;
+        }
+    }
+
+    pub(crate) async fn bounded<T>(&self, call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
+        match timeout(Duration::from_millis(STORE_CALL_MS), call).await {
+            Ok(answer) => answer,
+            Err(_) => Err(StoreError::Unknown(format!("none within {STORE_CALL_MS} ms"))),
+        }
+    }
+
+    /// Keeps the copy of a stream up to date.
+    async fn follow(self: Rc<Self>, stream: Stream) {
+        let mut pause_ms = FIRST_PAUSE_MS;
+        let mut lost = false;
+        loop {
+            // The leader writes these records itself.
+            while stream == Stream::Progress && self.leading.get() {
+                self.leading_changed.notified().await;
+            }
+            let from = self.state.borrow().next.get(&stream).copied();
+            let answer = match from {
+                None => self.bounded(self.store.newest(stream)).await,
+                Some(from) => self.store.read(stream, from, READ_WAIT_MS).await,
+            };
+            match answer {
+                Ok(page) => {
+                    if std::mem::take(&mut lost) {
+                        log::info!("store regained: stream={stream:?} next={}", page.next);
+                    }
+                    pause_ms = FIRST_PAUSE_MS;
+                    self.apply(stream, page);
+                    let spacing_ms = match stream {
+                        Stream::Progress => FOLLOW_SPACING_MS,
+                        Stream::Jobs if !self.leading.get() => SUBMISSIONS_SPACING_MS,
+                        _ => 0,
+                    };
+                    sleep(Duration::from_millis(spacing_ms)).await;
+                }
+                Err(StoreError::Expired) => {
+                    log::warn!("records expired: stream={stream:?} from={from:?}");
+                    self.state.borrow_mut().next.remove(&stream);
+                }
+                Err(error) => {
+                    if !std::mem::replace(&mut lost, true) {
+                        log::warn!("store lost: stream={stream:?} error={error}");
+                    }
+                    pause(&mut pause_ms).await;
+                }
+            }
+        }
+    }
+
+    /// Reads a stream to its end.
+    pub(crate) async fn catch_up(&self, stream: Stream) -> Result<(), StoreError> {
+        loop {
+            let from = self.state.borrow().next.get(&stream).copied();
+            let page = match from {
+                None => self.bounded(self.store.newest(stream)).await?,
+                Some(from) => match self.bounded(self.store.read(stream, from, 0)).await {
+                    Ok(page) => page,
+                    Err(StoreError::Expired) => {
+                        self.state.borrow_mut().next.remove(&stream);
+                        continue;
+                    }
+                    Err(error) => return Err(error),
+                },
+            };
+            let read = page.records.len();
+            self.apply(stream, page);
+            if read == 0 {
+                return Ok(());
+            }
+        }
+    }
+
+    fn apply(&self, stream: Stream, page: Page) {
+        let mut state = self.state.borrow_mut();
+        for record in &page.records {
+            match stream {
+                Stream::Operator => match (self.config.read_operator)(record) {
+                    Ok(change) => state.operator(change),
+                    Err(message) => log::warn!("operator record skipped: key={} error={message}", record.key),
+                },
+                Stream::Hosts => state.host(record),
+                Stream::Jobs | Stream::Progress => match JobRecord::decode(record) {
+                    Ok(decoded) => state.job(decoded),
+                    Err(error) => log::warn!("record skipped: stream={stream:?} error={error}"),
+                },
+            }
+        }
+        state.next.insert(stream, page.next);
+    }
+
+    /// Stays in the group of entries, and leads when it is this entry's turn.
+    async fn take_part(self: Rc<Self>, stop: CancellationToken) {
+        let clock = self.config.clock;
+        let member = format!("{}@{}", self.config.name, clock.unix_ms());
+        let renewal = Duration::from_millis(self.config.ttl_ms / RENEWALS_PER_TTL);
+        let mut generation = 0;
+        let mut current: Option<(Rc<Leading>, CancellationToken, tokio::task::JoinHandle<()>)> = None;
+        while !stop.is_cancelled() {
+            let asked = clock.now();
+            let answer = self.bounded(self.store.join(&member, self.config.ttl_ms, generation)).await;
+            if let Some((_, _, task)) = &current
+                && task.is_finished()
+            {
+                current = None;
+                self.set_leading(None);
+            }
+            match answer {
+                Ok(membership) => {
+                    generation = membership.generation;
+                    match (&current, membership.leads) {
+                        (Some((leading, ..)), true) => leading.proof.borrow_mut().confirmed(asked),
+                        (None, true) if self.is_ready() => {
+                            let leading = Rc::new(Leading {
+                                name: self.config.name.clone(),
+                                // Of two leaders the later one has to have the higher epoch. A time of day that is behind
+                                // is found out by the store, and made up for.
+                                epoch: Cell::new(clock.unix_ms()),
+                                plan: self.config.plan,
+                                clock,
+                                proof: RefCell::default(),
+                                superseded: Cell::new(false),
+                            });
+                            leading.proof.borrow_mut().confirmed(asked);
+                            let token = CancellationToken::new();
+                            let task = spawn_local(leader::lead(self.clone(), leading.clone(), token.clone()));
+                            current = Some((leading, token, task));
+                        }
+                        (Some((_, token, _)), false) => {
+                            log::info!("leadership given up: entry={} generation={generation}", self.config.name);
+                            token.cancel();
+                            if let Some((_, _, task)) = current.take() {
+                                // A leader that was stopped has nothing to report.
+                                drop(task.await);
+                            }
+                            self.set_leading(None);
+                            // Joins again at once: the next leader may only start now.
+                            continue;
+                        }
+                        (None, _) => {}
+                    }
+                }
+                Err(error) => log::warn!("membership not renewed: entry={} error={error}", self.config.name),
+            }
+            tokio::select! {
+                () = sleep(renewal) => {}
+                () = stop.cancelled() => {}
+            }
+        }
+        if let Some((_, token, task)) = current {
+            token.cancel();
+            drop(task.await);
+            self.set_leading(None);
+        }
+        if let Err(error) = self.bounded(self.store.leave(&member)).await {
+            log::warn!("membership not given up: entry={} error={error}", self.config.name);
+        }
+    }
+
+    /// Starts or ends the flow of news to the leader's task.
+    pub(crate) fn set_leading(&self, sender: Option<mpsc::UnboundedSender<LeaderEvent>>) {
+        self.leading.set(sender.is_some());
+        self.state.borrow_mut().leader = sender;
+        self.leading_changed.notify_waiters();
+    }
+
+    /// The copy of all jobs.
+    pub(crate) fn with_replica<T>(&self, read: impl FnOnce(&mut Replica) -> T) -> T {
+        read(&mut self.state.borrow_mut().replica)
+    }
+
+    pub(crate) fn submission(&self, job: JobId) -> Option<Arc<JobSpec>> {
+        self.state.borrow().replica.job(job).and_then(|copy| copy.spec.clone())
+    }
+
+    /// The leader's own records end here now.
+    pub(crate) fn progress_stored(&self, next: u64) {
+        self.state.borrow_mut().next.insert(Stream::Progress, next);
+    }
+
+    pub(crate) fn hosts(&self) -> BTreeMap<HostName, String> {
+        self.state.borrow().hosts.clone()
+    }
+
+    pub(crate) fn directory(&self) -> Directory {
+        self.state.borrow().directory.clone().unwrap_or_default()
+    }
+
+    pub(crate) fn zones_out(&self) -> BTreeSet<String> {
+        self.state.borrow().zones_out.clone()
+    }
+}
+
+impl State {
+    fn tell(&self, event: LeaderEvent) {
+        if let Some(leader) = &self.leader
+            && leader.send(event).is_err()
+        {
+            log::debug!("the leader has stopped");
+        }
+    }
+
+    fn tell_submitted(&self, job: JobId) {
+        self.tell(LeaderEvent::Submitted(job));
+    }
+
+    fn operator(&mut self, change: OperatorChange) {
+        match change {
+            OperatorChange::Configured(directory) => {
+                let version = self.directory.as_ref().map(|directory| directory.version);
+                if version.is_some_and(|version| version >= directory.version) {
+                    return;
+                }
+                log::info!("configuration in force: version={} before={version:?}", directory.version);
+                self.directory = Some(directory);
+                self.tell(LeaderEvent::Configured);
+            }
+            OperatorChange::ZoneOut(zone) => {
+                log::info!("availability zone out of service: zone={zone}");
+                self.zones_out.insert(zone);
+                self.tell(LeaderEvent::ZonesChanged);
+            }
+            OperatorChange::ZoneIn(zone) => {
+                if self.zones_out.remove(&zone) {
+                    log::info!("availability zone back in service: zone={zone}");
+                    self.tell(LeaderEvent::ZonesChanged);
+                }
+            }
+            OperatorChange::Other => {}
+        }
+    }
+
+    fn host(&mut self, record: &Record) {
+        match record.value.as_deref().map(std::str::from_utf8) {
+            Some(Ok(address)) => {
+                self.hosts.insert(record.key.clone(), address.to_owned());
+                self.tell(LeaderEvent::HostsChanged);
+            }
+            Some(Err(e)) => log::warn!("host record skipped: key={} error={e}", record.key),
+            None => {}
+        }
+    }
+
+    fn job(&mut self, record: JobRecord) {
+        match record {
+            JobRecord::Submitted(job, spec) => {
+                if self.replica.submitted(job, *spec) {
+                    self.tell_submitted(job);
+                }
+            }
+            JobRecord::Cancelled(job) => {
+                if self.replica.cancelled(job) {
+                    self.tell(LeaderEvent::Cancelled(job));
+                }
+            }
+            JobRecord::Progressed(job, progress) => self.replica.progressed(job, progress),
+            JobRecord::Removed => {}
+        }
+    }
+}
+
+/// Waits before a call is repeated, each time longer, with jitter so that processes do not call in step.
+pub(crate) async fn pause(pause_ms: &mut u64) {
+    let jittered = rand::rng().random_range(*pause_ms / 2..=*pause_ms);
+    *pause_ms = (*pause_ms * 2).min(LONGEST_PAUSE_MS);
+    sleep(Duration::from_millis(jittered)).await;
+}
--- /dev/null
+++ b/crates/fleet/src/leader.rs
@@ -0,0 +1,338 @@
+//! The leader: drives the scheduler with what the store and the hosts say.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use fescuelead_core::jobs::{Batch, Effect, HostName, JobId, Phase, Scheduler};
+use tokio::{
+    sync::mpsc,
+    task::{JoinHandle, spawn_local},
+    time::interval,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    entry::{Entry, pause},
+    message::{Start, ToAgent, ToLeader},
+    session::{self, Leading, SessionEvent},
+    store::{JobRecord, LeaderMark, Record, StoreError, Stream},
+};
+
+/// How often the leader looks for leases that have ended and occurrences that are due, in milliseconds.
+const TICK_MS: u64 = 50;
+/// The most bytes of records in one append; the platform takes at least twice as much.
+const MAX_APPEND_BYTES: usize = 512 * 1024;
+/// By how much the epoch grows when the store has seen a higher one: more than clocks differ, in milliseconds.
+const EPOCH_STEP: u64 = 5_000;
+/// The first pause before an append is repeated, in milliseconds.
+const APPEND_PAUSE_MS: u64 = 10;
+
+/// What an entry tells its leader.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum LeaderEvent {
+    Submitted(JobId),
+    Cancelled(JobId),
+    Configured,
+    ZonesChanged,
+    HostsChanged,
+}
+
+struct Session {
+    address: String,
+    orders: mpsc::UnboundedSender<ToAgent>,
+    task: JoinHandle<()>,
+}
+
+struct Leader {
+    entry: Rc<Entry>,
+    leading: Rc<Leading>,
+    scheduler: Scheduler,
+    sessions: BTreeMap<HostName, Session>,
+    session_events: mpsc::UnboundedSender<(HostName, SessionEvent)>,
+}
+
+impl Drop for Leader {
+    fn drop(&mut self) {
+        self.sessions.values().for_each(|session| session.task.abort());
+    }
+}
+
+/// Leads until `stop` or until another leader is seen.
+pub(crate) async fn lead(entry: Rc<Entry>, leading: Rc<Leading>, stop: CancellationToken) {
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = lead_on(entry, leading) => {}
+    }
+}
+
+async fn lead_on(entry: Rc<Entry>, leading: Rc<Leading>) {
+    take_over(&entry, &leading).await;
+    let clock = entry.config.clock;
+    let (sender, mut news) = mpsc::unbounded_channel();
+    entry.set_leading(Some(sender));
+    let now = clock.moment();
+    let known_hosts = entry.hosts();
+    let mut scheduler =
+        entry.with_replica(|replica| Scheduler::new(leading.plan, replica, known_hosts.into_keys(), now));
+    scheduler.set_zones_out(entry.zones_out());
+    scheduler.set_queues(entry.directory().queues(), now);
+    log::info!(
+        "leading: entry={} epoch={} jobs={}",
+        leading.name,
+        leading.epoch.get(),
+        entry.with_replica(|replica| replica.jobs().count())
+    );
+    let (session_events, mut said) = mpsc::unbounded_channel();
+    let mut leader =
+        Leader { entry: entry.clone(), leading: leading.clone(), scheduler, sessions: BTreeMap::new(), session_events };
+    leader.connect();
+    let (stored_sender, mut stored) = mpsc::unbounded_channel();
+    let mut sequence = 0;
+    let mut storing: Option<Batch> = None;
+    let mut ticks = interval(Duration::from_millis(TICK_MS));
+    loop {
+        tokio::select! {
+            event = news.recv() => {
+                let Some(event) = event else { break };
+                leader.news(event);
+            }
+            event = said.recv() => {
+                let Some((host, event)) = event else { break };
+                leader.session(&host, event);
+                while let Ok((host, event)) = said.try_recv() {
+                    leader.session(&host, event);
+                }
+            }
+            outcome = stored.recv() => {
+                let Some(Ok(next)) = outcome else { break };
+                entry.progress_stored(next);
+                if let Some(batch) = storing.take() {
+                    leader.carry_out(batch);
+                }
+            }
+            _ = ticks.tick() => {}
+        }
+        if leading.superseded.get() {
+            log::warn!("leadership lost to a later leader: entry={} epoch={}", leading.name, leading.epoch.get());
+            break;
+        }
+        leader.scheduler.tick(clock.moment());
+        if storing.is_none() && leader.scheduler.has_output() {
+            let batch = leader.scheduler.take();
+            if batch.records.is_empty() {
+                leader.carry_out(batch);
+            } else {
+                let appends = encode(&batch);
+                let first = sequence + 1;
+                sequence += appends.len() as u64;
+                let (entry, leading, sender) = (entry.clone(), leading.clone(), stored_sender.clone());
+                spawn_local(async move {
+                    let outcome = store(&entry, &leading, first, &appends).await;
+                    if sender.send(outcome).is_err() {
+                        log::debug!("the leader stopped while records were being stored");
+                    }
+                });
+                storing = Some(batch);
+            }
+        }
+    }
+    entry.set_leading(None);
+}
+
+/// Keeps earlier leaders from writing, then reads all that they have written.
+async fn take_over(entry: &Entry, leading: &Leading) {
+    let mut pause_ms = APPEND_PAUSE_MS;
+    loop {
+        let mark = LeaderMark { epoch: leading.epoch.get(), sequence: 0 };
+        match entry.bounded(entry.store.append(Stream::Progress, &[], Some(mark))).await {
+            Ok(_) => break,
+            Err(StoreError::Fenced) => leading.epoch.set(leading.epoch.get() + EPOCH_STEP),
+            Err(error) => {
+                log::warn!("cannot take over yet: entry={} error={error}", leading.name);
+                pause(&mut pause_ms).await;
+            }
+        }
+    }
+    for stream in [Stream::Jobs, Stream::Hosts, Stream::Operator, Stream::Progress] {
+        while let Err(error) = entry.catch_up(stream).await {
+            log::warn!("cannot take over yet: entry={} stream={stream:?} error={error}", leading.name);
+            pause(&mut pause_ms).await;
+        }
+    }
+}
+
+/// Stores records under consecutive sequence numbers, and repeats each append until the store has answered. Returns the
+/// offset after the records.
+async fn store(entry: &Entry, leading: &Leading, first: u64, appends: &[Vec<Record>]) -> Result<u64, StoreError> {
+    let mut next = 0;
+    for (sequence, records) in (first..).zip(appends) {
+        let mark = LeaderMark { epoch: leading.epoch.get(), sequence };
+        let mut pause_ms = APPEND_PAUSE_MS;
+        next = loop {
+            match entry.bounded(entry.store.append(Stream::Progress, records, Some(mark))).await {
+                Ok(next) => break next,
+                Err(StoreError::Fenced) => {
+                    log::warn!(
+                        "records refused, a later leader has written: entry={} sequence={sequence}",
+                        leading.name
+                    );
+                    return Err(StoreError::Fenced);
+                }
+                Err(error) => {
+                    log::warn!("records not stored yet: entry={} sequence={sequence} error={error}", leading.name);
+                    pause(&mut pause_ms).await;
+                }
+            }
+        };
+    }
+    Ok(next)
+}
+
+/// Encodes changed jobs as the records of one or more appends.
+fn encode(batch: &Batch) -> Vec<Vec<Record>> {
+    let mut appends = vec![Vec::new()];
+    let mut bytes = 0;
+    for (job, progress) in &batch.records {
+        let record = match JobRecord::progressed(*job, progress) {
+            Ok(record) => record,
+            Err(error) => {
+                log::error!("a job cannot be stored: job={job} error={error}");
+                continue;
+            }
+        };
+        let size = record.value.as_ref().map_or(0, Vec::len) + record.key.len();
+        if bytes + size > MAX_APPEND_BYTES && bytes > 0 {
+            appends.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(last) = appends.last_mut() {
+            last.push(record);
+        }
+    }
+    appends
+}
+
+impl Leader {
+    fn news(&mut self, event: LeaderEvent) {
+        let now = self.entry.config.clock.moment();
+        match event {
+            LeaderEvent::Submitted(job) => {
+                if let Some(spec) = self.entry.submission(job) {
+                    log::info!("job accepted: job={job} queue={} steps={}", spec.queue, spec.steps.len());
+                    self.scheduler.submitted(job, spec, now);
+                }
+                // The cancellation of a job may be read before its submission.
+                let cancelled = self.entry.with_replica(|replica| replica.job(job).is_some_and(|copy| copy.cancelled));
+                if cancelled {
+                    self.scheduler.cancelled(job, now);
+                }
+            }
+            LeaderEvent::Cancelled(job) => {
+                log::info!("job cancelled: job={job}");
+                self.scheduler.cancelled(job, now);
+            }
+            LeaderEvent::Configured => self.scheduler.set_queues(self.entry.directory().queues(), now),
+            LeaderEvent::ZonesChanged => self.scheduler.set_zones_out(self.entry.zones_out()),
+            LeaderEvent::HostsChanged => self.connect(),
+        }
+    }
+
+    /// Opens sessions with the hosts that are new or have a new address.
+    fn connect(&mut self) {
+        for (host, address) in self.entry.hosts() {
+            if self.sessions.get(&host).is_some_and(|session| session.address == address) {
+                continue;
+            }
+            self.scheduler.host_known(&host);
+            let (orders, receiver) = mpsc::unbounded_channel();
+            let events = self.session_events.clone();
+            let dial = session::dial(self.leading.clone(), host.clone(), address.clone(), receiver, events);
+            let task = spawn_local(dial);
+            if let Some(earlier) = self.sessions.insert(host, Session { address, orders, task }) {
+                earlier.task.abort();
+            }
+        }
+    }
+
+    fn session(&mut self, host: &HostName, event: SessionEvent) {
+        let now = self.entry.config.clock.moment();
+        let message = match event {
+            SessionEvent::Opened => {
+                log::info!("host connected: host={host}");
+                return self.scheduler.host_connected(host);
+            }
+            SessionEvent::Closed { answered } => {
+                log::warn!("host disconnected: host={host}");
+                return self.scheduler.host_disconnected(host, answered, now);
+            }
+            SessionEvent::Said(message) => message,
+        };
+        match message {
+            ToLeader::Info(info) => self.scheduler.host_info(host, info),
+            ToLeader::Runs { incarnation, running } => {
+                log::info!("host reported: host={host} incarnation={incarnation} running={}", running.len());
+                self.scheduler.host_runs(host, incarnation, &running, now);
+            }
+            ToLeader::Ended { incarnation, ended } => {
+                log::info!(
+                    "run ended: task={} run={} host={host} end={:?} number={}",
+                    ended.task,
+                    ended.run,
+                    ended.end,
+                    ended.number
+                );
+                self.scheduler.ended(host, incarnation, &ended, now);
+            }
+            ToLeader::Rejected { incarnation, task, run, reason } => {
+                log::info!("run rejected: task={task} run={run} host={host} reason={reason:?}");
+                self.scheduler.rejected(host, incarnation, &task, run, reason, now);
+            }
+            ToLeader::Checkpoint { incarnation, task, run, checkpoint } => {
+                self.scheduler.checkpoint(host, incarnation, &task, run, checkpoint);
+            }
+            ToLeader::Gone { incarnation } => {
+                log::warn!("host lost its runs: host={host} incarnation={incarnation}");
+                self.scheduler.host_lost(host, now);
+            }
+            // The session answers these itself.
+            ToLeader::Ask { .. } | ToLeader::Superseded { .. } => {}
+        }
+    }
+
+    /// Carries out what rests on stored records.
+    fn carry_out(&mut self, batch: Batch) {
+        let Batch { records, effects } = batch;
+        self.entry.with_replica(|replica| {
+            for (job, progress) in records {
+                if progress.phase != Phase::Active {
+                    log::info!("job ended: job={job} phase={:?}", progress.phase);
+                }
+                replica.progressed(job, progress);
+            }
+        });
+        for effect in effects {
+            let (host, order) = match effect {
+                Effect::Start { host, incarnation, task, run, spec, checkpoint } => {
+                    let Some(step) = spec.steps.get(task.step as usize) else { continue };
+                    log::info!("run ordered: task={task} run={run} host={host}");
+                    let start = Start {
+                        incarnation,
+                        task,
+                        run,
+                        payload: spec.payload.clone(),
+                        checkpoint,
+                        background: step.background,
+                        tail_target_ms: step.tail_target_ms,
+                    };
+                    (host, ToAgent::Start(start))
+                }
+                Effect::Stop { host, task, run } => (host, ToAgent::Stop { task, run }),
+                Effect::Forget { host, incarnation, up_to } => (host, ToAgent::Forget { incarnation, up_to }),
+            };
+            let session = self.sessions.get(&host);
+            if session.is_none_or(|session| session.orders.send(order).is_err()) {
+                log::warn!("no session for an order: host={host}");
+            }
+        }
+    }
+}
