Queue background tasks by objective and by what hosts leave unused

Cause: nearly all processors are committed to serving tasks, which use about half of them. Background tasks were either all started at once and slowed together, or (kept off serving hosts) had one host in eleven.

--- a/crates/core/src/jobs/hosts.rs
+++ b/crates/core/src/jobs/hosts.rs
@@ -12,6 +12,9 @@
 const REMEMBERED_ENDS: u32 = 8;
 /// A host with this many failures among the remembered ends is avoided.
 const SUSPECT_FAILURES: u32 = 3;
+/// How much of the processors committed to tasks that serve users they leave unused on average, in percent. Services are
+/// sized for their peaks.
+const SERVING_UNUSED_PERCENT: u32 = 50;
 /// For how long a host is avoided after a refusal that was not for want of room, in milliseconds.
 const REFUSAL_MS: u64 = 1_000;
 /// For how long a host that fails runs is avoided before it is tried again, in milliseconds.
@@ -66,6 +69,9 @@
     used: Resources,
     background_cpu_milli: u32,
     serving: u32,
+    serving_cpu_milli: u32,
+    /// The share of their speed at which background tasks run here, in percent.
+    pub paced_percent: u8,
     /// The latest ends, one bit each; 1 is a failure.
     ends: u32,
     avoid_until: TimeMs,
@@ -82,6 +88,8 @@
             used: Resources::ZERO,
             background_cpu_milli: 0,
             serving: 0,
+            serving_cpu_milli: 0,
+            paced_percent: 100,
             ends: 0,
             avoid_until: TimeMs::default(),
         }
@@ -95,7 +103,10 @@
             resources.cpu_milli = 0;
         }
         let serves = step.tail_target_ms.is_some();
-        self.serving += u32::from(serves);
+        if serves {
+            self.serving += 1;
+            self.serving_cpu_milli += step.resources.cpu_milli;
+        }
         self.used = self.used.plus(&resources);
         let placed = Placed { run, resources: step.resources, background: step.background, serves };
         if let Some(earlier) = self.tasks.insert(task, placed) {
@@ -116,7 +127,10 @@
             self.background_cpu_milli -= resources.cpu_milli;
             resources.cpu_milli = 0;
         }
-        self.serving -= u32::from(placed.serves);
+        if placed.serves {
+            self.serving -= 1;
+            self.serving_cpu_milli -= placed.resources.cpu_milli;
+        }
         self.used = self.used.minus(&resources);
     }
 
@@ -158,23 +172,43 @@
         if step.per_host.is_some_and(|most| self.tasks_of(task) >= most as usize) {
             return false;
         }
-        let mut wanted = step.resources;
+        let mut free = info.capacity.minus(&self.used);
         if step.background {
-            wanted.cpu_milli = 0;
+            free.cpu_milli = self.background_room(info.capacity.cpu_milli);
         }
-        wanted.fits_in(&info.capacity.minus(&self.used))
+        step.resources.fits_in(&free)
+    }
+
+    /// Processors for more background tasks, in thousandths of a core: what the other tasks probably leave, as far as the
+    /// host lets background tasks use it.
+    fn background_room(&self, total_milli: u32) -> u32 {
+        let unused = self.serving_cpu_milli * SERVING_UNUSED_PERCENT / 100;
+        let left = total_milli.saturating_sub(self.used.cpu_milli) + unused;
+        (left * u32::from(self.paced_percent) / 100).saturating_sub(self.background_cpu_milli)
     }
 
     /// How good a place this is for a task of `step`; higher is better.
+    ///
+    /// Background tasks disturb tasks that serve users, and are paced down beside them. Serving tasks are therefore packed
+    /// onto few hosts, which leaves the others to background tasks; all other tasks go rather to the hosts that serve.
     pub fn score(&self, step: &StepSpec, now: TimeMs) -> i64 {
         let Some(info) = &self.info else { return i64::MIN };
         let total = i64::from(info.capacity.cpu_milli.max(1));
-        let demand = i64::from(self.used.cpu_milli) + i64::from(self.background_cpu_milli);
-        // Thousandths of the host that stay free. Background work next to serving work is paced down, so it counts as if
-        // half of the host were in use.
-        let mut score = 1_000 - (demand + i64::from(step.resources.cpu_milli)) * 1_000 / total;
-        if step.background && self.serving > 0 {
-            score -= 500;
+        let serves = step.tail_target_ms.is_some();
+        let mut score = if step.background {
+            i64::from(self.background_room(info.capacity.cpu_milli)) * 1_000 / total
+        } else {
+            let demand = i64::from(self.used.cpu_milli) + i64::from(self.background_cpu_milli);
+            1_000 - (demand + i64::from(step.resources.cpu_milli)) * 1_000 / total
+        };
+        match (self.serving > 0, step.background, serves) {
+            (true, true, _) => score -= 300,
+            (true, false, true) => score += 1_000,
+            (true, false, false) => score += 300,
+            (false, ..) => {}
+        }
+        if serves {
+            score -= 2 * i64::from(self.background_cpu_milli) * 1_000 / total;
         }
         if step.rack.as_ref().is_some_and(|rack| info.labels.contains(rack)) {
             score += 500;
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -116,16 +116,27 @@
     }
 }
 
-/// A step of one occurrence with tasks that wait, in the order in which steps are served.
+/// A step of one occurrence with tasks that wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ReadyKey {
     priority: u8,
+    /// When the occurrence should have ended.
+    objective_unix_ms: u64,
+    /// The order in which the jobs were accepted.
     accepted: u64,
     job: JobId,
     occurrence: u32,
     step: u32,
 }
 
+impl ReadyKey {
+    /// The order in which steps are served: by priority, then the earliest objective first. One that has been missed already
+    /// comes after those that can still be met.
+    fn rank(&self, now: Moment) -> impl Ord + use<> {
+        (self.priority, self.objective_unix_ms < now.unix_ms, *self)
+    }
+}
+
 #[derive(Debug)]
 struct Job {
     spec: Arc<JobSpec>,
@@ -233,6 +244,14 @@
         }
     }
 
+    /// A host runs its background tasks at this share of their speed, in percent.
+    pub fn host_paced(&mut self, name: &HostName, percent: u8) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.paced_percent = percent;
+            self.place_again = true;
+        }
+    }
+
     /// A host is known to exist.
     pub fn host_known(&mut self, host: &HostName) {
         self.hosts.entry(host.clone()).or_insert_with(|| Host::new(Link::Lost));
@@ -383,7 +402,7 @@
             self.due.remove(&(at, job));
             self.refresh(job, now);
         }
-        self.place(now.at);
+        self.place(now);
     }
 
     /// The hosts that are silent with runs on them that have not been given up.
@@ -489,7 +508,8 @@
     /// Finds the steps of a job that have waiting tasks and may run.
     fn refresh(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let priority = self.settings(&job.spec).priority;
+        let settings = self.settings(&job.spec).clone();
+        let priority = settings.priority;
         let accepted = job.accepted;
         let mut ready = Vec::new();
         if job.progress.phase == Phase::Active {
@@ -498,11 +518,12 @@
                     self.due.insert((due, id));
                     continue;
                 }
+                let objective_unix_ms = job.spec.objective_unix_ms(occurrence, &settings);
                 for (step, tasks) in (0..).zip(steps) {
                     let waits = tasks.iter().any(|task| task.state == TaskState::Waiting);
                     let after = &job.spec.steps[step as usize].after;
                     if waits && after.iter().all(|&on| job.progress.step_done(occurrence, on)) {
-                        ready.push(ReadyKey { priority, accepted, job: id, occurrence, step });
+                        ready.push(ReadyKey { priority, objective_unix_ms, accepted, job: id, occurrence, step });
                     }
                 }
             }
@@ -517,13 +538,14 @@
     }
 
     /// Places waiting tasks, the most urgent first. A step that does not fit does not hold up the ones behind it.
-    fn place(&mut self, now: TimeMs) {
+    fn place(&mut self, now: Moment) {
         if !std::mem::take(&mut self.place_again) {
             return;
         }
-        let keys: Vec<_> = self.ready.iter().copied().collect();
+        let mut keys: Vec<_> = self.ready.iter().copied().collect();
+        keys.sort_by_key(|key| key.rank(now));
         for key in keys {
-            self.place_step(&key, now);
+            self.place_step(&key, now.at);
         }
     }
 
--- a/crates/core/src/jobs/spec.rs
+++ b/crates/core/src/jobs/spec.rs
@@ -83,6 +83,10 @@
         pub priority: u8,
         /// How many runs of a task may fail before its job has failed.
         pub max_failures: u32,
+        /// By how much a job may take longer than its longest chain of tasks, in percent of the chain.
+        pub stretch_percent: u32,
+        /// The latency that a job may have beyond that, in milliseconds.
+        pub latency_ms: u64,
     }
 
     /// When the occurrences of a repeated job are due.
@@ -132,6 +136,8 @@
         pub queue: String,
         /// The settings of the queue when the job was accepted. They stay in force if the queue is removed.
         pub settings: QueueSettings,
+        /// When it was accepted, in milliseconds since 1970.
+        pub accepted_unix_ms: u64,
         /// What the tasks are told to do; opaque.
         pub payload: String,
         /// The steps.
@@ -178,6 +184,23 @@
         Some(repeat.first_unix_ms.saturating_add(repeat.interval_ms.saturating_mul(u64::from(occurrence))))
     }
 
+    /// The longest chain of steps that depend on each other, by the estimates, in milliseconds. Linear in the dependencies.
+    pub fn chain_ms(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let start = step.after.iter().filter_map(|&on| ends.get(on as usize)).max().copied().unwrap_or(0);
+            ends.push(start.saturating_add(step.estimate_ms));
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    /// When an occurrence should have ended, in milliseconds since 1970.
+    pub fn objective_unix_ms(&self, occurrence: u32, settings: &QueueSettings) -> u64 {
+        let start = self.due_unix_ms(occurrence).unwrap_or(self.accepted_unix_ms);
+        let span = self.chain_ms().saturating_mul(u64::from(settings.stretch_percent)) / 100;
+        start.saturating_add(span).saturating_add(settings.latency_ms)
+    }
+
     /// Checks the steps.
     ///
     /// # Errors
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -448,6 +448,9 @@
                 spawn_local(self.clone().set_pace(task, order.run, percent));
             }
         }
+        if percent != before {
+            state.tell(ToLeader::Paced { percent });
+        }
     }
 
     async fn set_pace(self: Rc<Self>, task: TaskRef, run: u32, percent: u8) {
@@ -542,6 +545,7 @@
     /// Says everything that a new leader has to know: ends first, so that no ended run is started again.
     fn introduce(&mut self) {
         self.tell(ToLeader::Info(self.info.clone()));
+        self.tell(ToLeader::Paced { percent: self.pacer.percent() });
         let Some(incarnation) = self.incarnation.filter(|_| !self.gone && self.report_asked != TimeMs::default())
         else {
             return;
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -290,6 +290,7 @@
             ToLeader::Checkpoint { incarnation, task, run, checkpoint } => {
                 self.scheduler.checkpoint(host, incarnation, &task, run, checkpoint);
             }
+            ToLeader::Paced { percent } => self.scheduler.host_paced(host, percent),
             ToLeader::Gone { incarnation } => {
                 log::warn!("host lost its runs: host={host} incarnation={incarnation}");
                 self.scheduler.host_lost(host, now);
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -120,6 +120,11 @@
             /// The checkpoint.
             checkpoint: String,
         },
+        /// Background tasks run at this share of their speed, in percent.
+        Paced {
+            /// The share.
+            percent: u8,
+        },
         /// Nothing that was started on this incarnation runs any more.
         Gone {
             /// The incarnation of the endpoint.
