--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -116,6 +116,12 @@
     }
 }
 
+/// How often waiting tasks are looked at again when nothing has happened, in milliseconds: suspicions end in time.
+const PLACE_MS: u64 = 250;
+/// A job of which nothing runs for this long starts a background task even where no processors are left for it, in
+/// milliseconds. Slow progress shows its clients more than none.
+const IDLE_MS: u64 = 1_000;
+
 /// A step of one occurrence with tasks that wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ReadyKey {
@@ -143,6 +149,10 @@
     progress: JobProgress,
     accepted: u64,
     ready: Vec<ReadyKey>,
+    /// How many runs may exist.
+    assigned: usize,
+    /// Since when no run exists although a task may run.
+    idle_since: Option<TimeMs>,
     /// Hosts on which runs of a task have failed.
     failed_on: BTreeMap<TaskRef, BTreeSet<HostName>>,
 }
@@ -162,6 +172,7 @@
     changed: BTreeSet<JobId>,
     effects: Vec<Effect>,
     place_again: bool,
+    place_at: TimeMs,
 }
 
 impl Scheduler {
@@ -184,6 +195,7 @@
             changed: BTreeSet::new(),
             effects: Vec::new(),
             place_again: true,
+            place_at: now.at,
         };
         let silent = Link::Silent { lost_at: plan.lost_after_takeover(now.at) };
         for host in known_hosts {
@@ -212,7 +224,16 @@
             }
         }
         self.accepted += 1;
-        let job = Job { spec, progress, accepted: self.accepted, ready: Vec::new(), failed_on: BTreeMap::new() };
+        let assigned = assigned(id, &progress).len();
+        let job = Job {
+            spec,
+            progress,
+            accepted: self.accepted,
+            ready: Vec::new(),
+            assigned,
+            idle_since: None,
+            failed_on: BTreeMap::new(),
+        };
         self.jobs.insert(id, job);
         self.refresh(id, now);
     }
@@ -445,6 +466,9 @@
             progress.checkpoint = checkpoint;
         }
         let run = progress.run;
+        if matches!(progress.state, TaskState::Assigned { .. }) {
+            job.assigned -= 1;
+        }
         progress.state = TaskState::Waiting;
         let mut failed = false;
         match end {
@@ -477,10 +501,11 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let tasks = &mut job.progress.occurrences[task.occurrence as usize][task.step as usize];
         for (index, progress) in tasks.iter_mut().enumerate().filter(|(_, progress)| progress.run == run) {
-            if let TaskState::Assigned { host, .. } = &progress.state
-                && let Some(host) = self.hosts.get_mut(host)
-            {
-                host.remove(&TaskRef { index: index as u32, ..*task });
+            if let TaskState::Assigned { host, .. } = &progress.state {
+                job.assigned -= 1;
+                if let Some(host) = self.hosts.get_mut(host) {
+                    host.remove(&TaskRef { index: index as u32, ..*task });
+                }
             }
             progress.state = TaskState::Done;
         }
@@ -534,14 +559,20 @@
         }
         self.ready.extend(ready.iter().copied());
         job.ready = ready;
+        if job.ready.is_empty() || job.assigned > 0 {
+            job.idle_since = None;
+        } else if job.idle_since.is_none() {
+            job.idle_since = Some(now.at);
+        }
         self.place_again = true;
     }
 
     /// Places waiting tasks, the most urgent first. A step that does not fit does not hold up the ones behind it.
     fn place(&mut self, now: Moment) {
-        if !std::mem::take(&mut self.place_again) {
+        if !std::mem::take(&mut self.place_again) && now.at < self.place_at {
             return;
         }
+        self.place_at = now.at.plus_ms(PLACE_MS);
         let mut keys: Vec<_> = self.ready.iter().copied().collect();
         keys.sort_by_key(|key| key.rank(now));
         for key in keys {
@@ -566,8 +597,17 @@
         if step.gang {
             self.place_gang(&spec, step, &service, &waiting, tasks.len(), now);
         } else {
+            let mut crowd = job.idle_since.is_some_and(|since| now.since_ms(since) >= IDLE_MS);
             for (task, run) in &waiting {
-                let Some(host) = self.best_host(task, step, &service, None, now) else { break };
+                let mut host = self.best_host(task, step, &service, None, now);
+                if host.is_none() && crowd && step.background {
+                    // Only memory and accelerators bind a task without processors of its own.
+                    let mut least = step.clone();
+                    least.resources.cpu_milli = 0;
+                    host = self.best_host(task, &least, &service, None, now);
+                }
+                let Some(host) = host else { break };
+                crowd = false;
                 self.assign(task, run + 1, host, &spec);
             }
         }
@@ -658,6 +698,8 @@
         let Some(progress) = job.progress.task_mut(task) else { return };
         host.add(*task, run, step);
         progress.run = run;
+        job.assigned += 1;
+        job.idle_since = None;
         progress.state = TaskState::Assigned { host: name.clone(), incarnation };
         let checkpoint = progress.checkpoint.clone();
         job.progress.begun = true;
