Choose the leader by the epochs of its appends

Now a leader shows itself in its own stream every 0.4 s; an entry that reads nothing new there for 1.6 s takes over with a higher epoch, and a leader that stops resigns.

Epochs have a random part now, and an entry that takes over reads back whose first record the store has.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -44,8 +44,17 @@
 const LONGEST_PAUSE_MS: u64 = 400;
 /// The first such pause, in milliseconds.
 const FIRST_PAUSE_MS: u64 = 30;
-/// How often an entry renews its membership while it lasts.
-const RENEWALS_PER_TTL: u64 = 4;
+/// How long the leader's records may stay away until another entry takes over, in milliseconds: four signs of life.
+const LEADER_SILENCE_MS: u64 = 1_600;
+/// Entries take over at different times, at most this much apart, in milliseconds. If two do, the store refuses the earlier.
+const TAKE_OVER_JITTER_MS: u64 = 400;
+/// The same after a leader has resigned.
+const SUCCESSION_JITTER_MS: u64 = 120;
+/// Epochs are times of day in this part of a millisecond, with a random last part, so that two entries hardly ever choose
+/// the same. They stay below 2^53, the largest number that all JSON readers take.
+pub(crate) const EPOCHS_PER_MS: u64 = 1_000;
+/// How often an entry looks whether it should lead, in milliseconds.
+const LOOK_MS: u64 = 30;
 /// How long a call to the store may take, in milliseconds: a hundred times the usual.
 const STORE_CALL_MS: u64 = 600;
 
@@ -54,8 +63,6 @@
 pub struct EntryConfig {
     /// The name, for logs.
     pub name: String,
-    /// How long a membership lasts without renewal, in milliseconds.
-    pub ttl_ms: u64,
     /// The time limits of leases.
     pub plan: LeasePlan,
     /// The clocks.
@@ -94,6 +101,14 @@
     directory: Option<Directory>,
     zones_out: BTreeSet<String>,
     leader: Option<mpsc::UnboundedSender<LeaderEvent>>,
+    /// The highest epoch of a leader that was seen.
+    epoch: u64,
+    /// The name of that leader.
+    leader_name: String,
+    /// Whether that leader has resigned.
+    resigned: bool,
+    /// Since when the leader's records could be read and nothing new came.
+    quiet_since: TimeMs,
 }
 
 /// An entry.
@@ -254,6 +269,9 @@
                         log::info!("store regained: stream={stream:?} next={}", page.next);
                     }
                     pause_ms = FIRST_PAUSE_MS;
+                    if stream == Stream::Progress && !page.records.is_empty() {
+                        self.state.borrow_mut().quiet_since = self.config.clock.now();
+                    }
                     self.apply(stream, page);
                     let spacing_ms = match stream {
                         Stream::Progress => FOLLOW_SPACING_MS,
@@ -267,6 +285,10 @@
                     self.state.borrow_mut().next.remove(&stream);
                 }
                 Err(error) => {
+                    if stream == Stream::Progress {
+                        // The leader may be as cut off as this entry is.
+                        self.state.borrow_mut().quiet_since = self.config.clock.now();
+                    }
                     if !std::mem::replace(&mut lost, true) {
                         log::warn!("store lost: stream={stream:?} error={error}");
                     }
@@ -317,74 +339,56 @@
         state.next.insert(stream, page.next);
     }
 
-    /// Stays in the group of entries, and leads when it is this entry's turn.
+    /// Leads when no other entry does, until `stop`.
     async fn take_part(self: Rc<Self>, stop: CancellationToken) {
         let clock = self.config.clock;
-        let member = format!("{}@{}", self.config.name, clock.unix_ms());
-        let renewal = Duration::from_millis(self.config.ttl_ms / RENEWALS_PER_TTL);
-        let mut generation = 0;
-        let mut current: Option<(Rc<Leading>, CancellationToken, tokio::task::JoinHandle<()>)> = None;
+        self.state.borrow_mut().quiet_since = clock.now();
         while !stop.is_cancelled() {
-            let asked = clock.now();
-            let answer = self.bounded(self.store.join(&member, self.config.ttl_ms, generation)).await;
-            if let Some((_, _, task)) = &current
-                && task.is_finished()
-            {
-                current = None;
-                self.set_leading(None);
-            }
-            match answer {
-                Ok(membership) => {
-                    generation = membership.generation;
-                    match (&current, membership.leads) {
-                        (Some((leading, ..)), true) => leading.proof.borrow_mut().confirmed(asked),
-                        (None, true) if self.is_ready() => {
-                            let leading = Rc::new(Leading {
-                                name: self.config.name.clone(),
-                                // Of two leaders the later one has to have the higher epoch. A time of day that is behind
-                                // is found out by the store, and made up for.
-                                epoch: Cell::new(clock.unix_ms()),
-                                plan: self.config.plan,
-                                clock,
-                                proof: RefCell::default(),
-                                superseded: Cell::new(false),
-                            });
-                            leading.proof.borrow_mut().confirmed(asked);
-                            let token = CancellationToken::new();
-                            let task = spawn_local(leader::lead(self.clone(), leading.clone(), token.clone()));
-                            current = Some((leading, token, task));
-                        }
-                        (Some((_, token, _)), false) => {
-                            log::info!("leadership given up: entry={} generation={generation}", self.config.name);
-                            token.cancel();
-                            if let Some((_, _, task)) = current.take() {
-                                // A leader that was stopped has nothing to report.
-                                drop(task.await);
-                            }
-                            self.set_leading(None);
-                            // Joins again at once: the next leader may only start now.
-                            continue;
-                        }
-                        (None, _) => {}
+            let jitter_ms = rand::rng().random_range(0..=TAKE_OVER_JITTER_MS);
+            let succession_ms = jitter_ms * SUCCESSION_JITTER_MS / TAKE_OVER_JITTER_MS;
+            let mut resigned_at = None;
+            loop {
+                sleep(Duration::from_millis(LOOK_MS)).await;
+                if stop.is_cancelled() {
+                    return;
+                }
+                let now = clock.now();
+                let state = self.state.borrow();
+                if state.resigned {
+                    let at = *resigned_at.get_or_insert(now);
+                    if now.since_ms(at) >= succession_ms {
+                        break;
                     }
+                } else {
+                    resigned_at = None;
+                }
+                if now.since_ms(state.quiet_since) >= LEADER_SILENCE_MS + jitter_ms {
+                    break;
                 }
-                Err(error) => log::warn!("membership not renewed: entry={} error={error}", self.config.name),
             }
-            tokio::select! {
-                () = sleep(renewal) => {}
-                () = stop.cancelled() => {}
+            if self.is_ready() {
+                let chance = rand::rng().random_range(0..EPOCHS_PER_MS);
+                let epoch = (clock.unix_ms() * EPOCHS_PER_MS + chance).max(self.state.borrow().epoch + 1 + chance);
+                let leading = Leading::new(self.config.name.clone(), epoch, self.config.plan, clock);
+                leader::lead(self.clone(), Rc::new(leading), stop.clone()).await;
             }
-        }
-        if let Some((_, token, task)) = current {
-            token.cancel();
-            drop(task.await);
-            self.set_leading(None);
-        }
-        if let Err(error) = self.bounded(self.store.leave(&member)).await {
-            log::warn!("membership not given up: entry={} error={error}", self.config.name);
+            let mut state = self.state.borrow_mut();
+            state.quiet_since = clock.now();
+            state.resigned = false;
         }
     }
 
+    /// Whether the latest leader that was seen has this name and epoch.
+    pub(crate) fn is_leader(&self, name: &str, epoch: u64) -> bool {
+        let state = self.state.borrow();
+        state.epoch == epoch && state.leader_name == name
+    }
+
+    /// The highest epoch of a leader that was seen.
+    pub(crate) fn last_epoch(&self) -> u64 {
+        self.state.borrow().epoch
+    }
+
     /// Starts or ends the flow of news to the leader's task.
     pub(crate) fn set_leading(&self, sender: Option<mpsc::UnboundedSender<LeaderEvent>>) {
         self.leading.set(sender.is_some());
@@ -482,6 +486,16 @@
                 }
             }
             JobRecord::Progressed(job, progress) => self.replica.progressed(job, progress),
+            JobRecord::Leader(leader) => {
+                if leader.epoch > self.epoch {
+                    log::info!("leader seen: leader={} epoch={}", leader.name, leader.epoch);
+                }
+                if leader.epoch >= self.epoch {
+                    self.epoch = leader.epoch;
+                    self.leader_name = leader.name;
+                    self.resigned = leader.resigned;
+                }
+            }
             JobRecord::Removed => {}
         }
     }
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use fescuelead_core::jobs::{Batch, Effect, HostName, JobId, Phase, Scheduler};
+use fescuelead_core::{
+    jobs::{Batch, Effect, HostName, JobId, Phase, Scheduler},
+    units::TimeMs,
+};
 use tokio::{
     sync::mpsc,
     task::{JoinHandle, spawn_local},
@@ -11,18 +14,25 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    entry::{Entry, pause},
+    entry::{EPOCHS_PER_MS, Entry, pause},
     message::{Start, ToAgent, ToLeader},
     session::{self, Leading, SessionEvent},
-    store::{JobRecord, LeaderMark, Record, StoreError, Stream},
+    store::{JobRecord, LeaderMark, LeaderRecord, Record, StoreError, Stream},
 };
 
 /// How often the leader looks for leases that have ended and occurrences that are due, in milliseconds.
 const TICK_MS: u64 = 50;
 /// The most bytes of records in one append; the platform takes at least twice as much.
 const MAX_APPEND_BYTES: usize = 512 * 1024;
-/// By how much the epoch grows when the store has seen a higher one: more than clocks differ, in milliseconds.
-const EPOCH_STEP: u64 = 5_000;
+/// By how much the epoch grows when the store has seen a higher one than this entry: more than clocks differ, five
+/// seconds in the unit of epochs.
+const EPOCH_STEP: u64 = 5_000 * EPOCHS_PER_MS;
+/// The sequence number of a leader's first record.
+const TAKE_OVER_SEQUENCE: u64 = 1;
+/// How often the leader shows that it lives when it has nothing else to store, in milliseconds.
+const SIGN_OF_LIFE_MS: u64 = 400;
+/// How long a leader that stops tries to tell the others, in milliseconds; they find out by themselves after it.
+const RESIGN_MS: u64 = 1_000;
 /// The first pause before an append is repeated, in milliseconds.
 const APPEND_PAUSE_MS: u64 = 10;
 
@@ -59,13 +69,12 @@
 /// Leads until `stop` or until another leader is seen.
 pub(crate) async fn lead(entry: Rc<Entry>, leading: Rc<Leading>, stop: CancellationToken) {
     tokio::select! {
-        () = stop.cancelled() => {}
-        () = lead_on(entry, leading) => {}
+        taken = take_over(&entry, &leading) => if !taken {
+            log::info!("another entry took over at the same time: entry={} epoch={}", leading.name, leading.epoch.get());
+            return;
+        },
+        () = stop.cancelled() => return,
     }
-}
-
-async fn lead_on(entry: Rc<Entry>, leading: Rc<Leading>) {
-    take_over(&entry, &leading).await;
     let clock = entry.config.clock;
     let (sender, mut news) = mpsc::unbounded_channel();
     entry.set_leading(Some(sender));
@@ -86,8 +95,10 @@
         Leader { entry: entry.clone(), leading: leading.clone(), scheduler, sessions: BTreeMap::new(), session_events };
     leader.connect();
     let (stored_sender, mut stored) = mpsc::unbounded_channel();
-    let mut sequence = 0;
+    let mut sequence = TAKE_OVER_SEQUENCE;
     let mut storing: Option<Batch> = None;
+    // The first records show the others who leads.
+    let mut signed_at = TimeMs::default();
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     loop {
         tokio::select! {
@@ -110,42 +121,74 @@
                 }
             }
             _ = ticks.tick() => {}
+            () = stop.cancelled(), if storing.is_none() => break,
         }
         if leading.superseded.get() {
             log::warn!("leadership lost to a later leader: entry={} epoch={}", leading.name, leading.epoch.get());
             break;
         }
         leader.scheduler.tick(clock.moment());
-        if storing.is_none() && leader.scheduler.has_output() {
-            let batch = leader.scheduler.take();
-            if batch.records.is_empty() {
-                leader.carry_out(batch);
-            } else {
-                let appends = encode(&batch);
-                let first = sequence + 1;
-                sequence += appends.len() as u64;
-                let (entry, leading, sender) = (entry.clone(), leading.clone(), stored_sender.clone());
-                spawn_local(async move {
-                    let outcome = store(&entry, &leading, first, &appends).await;
-                    if sender.send(outcome).is_err() {
-                        log::debug!("the leader stopped while records were being stored");
-                    }
-                });
-                storing = Some(batch);
-            }
+        if storing.is_some() {
+            continue;
+        }
+        let batch = leader.scheduler.take();
+        let silent = clock.now().since_ms(signed_at) >= SIGN_OF_LIFE_MS;
+        if batch.records.is_empty() && !silent {
+            leader.carry_out(batch);
+            continue;
         }
+        if silent {
+            signed_at = clock.now();
+        }
+        let appends = encode(&batch, silent.then(|| leading.record(false)));
+        let first = sequence + 1;
+        sequence += appends.len() as u64;
+        let (entry, leading, sender) = (entry.clone(), leading.clone(), stored_sender.clone());
+        spawn_local(async move {
+            let outcome = store(&entry, &leading, first, &appends).await;
+            if sender.send(outcome).is_err() {
+                log::debug!("the leader stopped while records were being stored");
+            }
+        });
+        storing = Some(batch);
     }
     entry.set_leading(None);
+    if stop.is_cancelled() && storing.is_none() {
+        log::info!("leadership given up: entry={} epoch={}", leading.name, leading.epoch.get());
+        let appends = encode(&Batch::default(), Some(leading.record(true)));
+        let resigning = store(&entry, &leading, sequence + 1, &appends);
+        if tokio::time::timeout(Duration::from_millis(RESIGN_MS), resigning).await.is_err() {
+            log::warn!("the others could not be told that the leader resigned: entry={}", leading.name);
+        }
+    }
 }
 
-/// Keeps earlier leaders from writing, then reads all that they have written.
-async fn take_over(entry: &Entry, leading: &Leading) {
+/// Keeps earlier leaders from writing, then reads all that they have written. Returns whether this entry leads now.
+///
+/// Two entries that take over with the same epoch are told apart by the first record: the store takes the second for a
+/// repetition of the first and drops it.
+async fn take_over(entry: &Entry, leading: &Leading) -> bool {
     let mut pause_ms = APPEND_PAUSE_MS;
     loop {
-        let mark = LeaderMark { epoch: leading.epoch.get(), sequence: 0 };
-        match entry.bounded(entry.store.append(Stream::Progress, &[], Some(mark))).await {
-            Ok(_) => break,
-            Err(StoreError::Fenced) => leading.epoch.set(leading.epoch.get() + EPOCH_STEP),
+        let appends = encode(&Batch::default(), Some(leading.record(false)));
+        let asked = leading.clock.now();
+        let mark = |sequence| Some(LeaderMark { epoch: leading.epoch.get(), sequence });
+        let fence = async {
+            entry.bounded(entry.store.append(Stream::Progress, &[], mark(0))).await?;
+            for records in &appends {
+                entry.bounded(entry.store.append(Stream::Progress, records, mark(TAKE_OVER_SEQUENCE))).await?;
+            }
+            Ok(())
+        };
+        match fence.await {
+            Ok(()) => {
+                leading.proof.borrow_mut().confirmed(asked);
+                break;
+            }
+            Err(StoreError::Fenced) => {
+                let epoch = leading.epoch.get().max(entry.last_epoch());
+                leading.epoch.set(epoch + EPOCH_STEP);
+            }
             Err(error) => {
                 log::warn!("cannot take over yet: entry={} error={error}", leading.name);
                 pause(&mut pause_ms).await;
@@ -158,6 +201,7 @@
             pause(&mut pause_ms).await;
         }
     }
+    entry.is_leader(&leading.name, leading.epoch.get())
 }
 
 /// Stores records under consecutive sequence numbers, and repeats each append until the store has answered. Returns the
@@ -168,8 +212,12 @@
         let mark = LeaderMark { epoch: leading.epoch.get(), sequence };
         let mut pause_ms = APPEND_PAUSE_MS;
         next = loop {
+            let asked = leading.clock.now();
             match entry.bounded(entry.store.append(Stream::Progress, records, Some(mark))).await {
-                Ok(next) => break next,
+                Ok(next) => {
+                    leading.proof.borrow_mut().confirmed(asked);
+                    break next;
+                }
                 Err(StoreError::Fenced) => {
                     log::warn!(
                         "records refused, a later leader has written: entry={} sequence={sequence}",
@@ -187,9 +235,15 @@
     Ok(next)
 }
 
-/// Encodes changed jobs as the records of one or more appends.
-fn encode(batch: &Batch) -> Vec<Vec<Record>> {
-    let mut appends = vec![Vec::new()];
+/// Encodes a sign of life and changed jobs as the records of one or more appends.
+fn encode(batch: &Batch, sign: Option<LeaderRecord>) -> Vec<Vec<Record>> {
+    let mut first = Vec::new();
+    match sign.as_ref().map(JobRecord::leader) {
+        Some(Ok(record)) => first.push(record),
+        Some(Err(error)) => log::error!("a sign of life cannot be stored: error={error}"),
+        None => {}
+    }
+    let mut appends = vec![first];
     let mut bytes = 0;
     for (job, progress) in &batch.records {
         let record = match JobRecord::progressed(*job, progress) {
@@ -212,6 +266,12 @@
     appends
 }
 
+impl Leading {
+    fn record(&self, resigned: bool) -> LeaderRecord {
+        LeaderRecord { epoch: self.epoch.get(), name: self.name.clone(), resigned }
+    }
+}
+
 impl Leader {
     fn news(&mut self, event: LeaderEvent) {
         let now = self.entry.config.clock.moment();
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -116,6 +116,12 @@
 }
 
 impl Leading {
+    /// A process that wants to lead.
+    pub fn new(name: String, epoch: u64, plan: LeasePlan, clock: Clock) -> Self {
+        let proof = RefCell::default();
+        Self { name, epoch: Cell::new(epoch), plan, clock, proof, superseded: Cell::new(false) }
+    }
+
     /// Whether this process surely leads.
     pub fn holds(&self) -> bool {
         !self.superseded.get() && self.proof.borrow().holds(&self.plan, self.clock.now())
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -1,7 +1,10 @@
 //! What is relied on of the platform's store.
 
 use async_trait::async_trait;
-use fescuelead_core::jobs::{JobId, JobProgress, JobSpec};
+use fescuelead_core::{
+    jobs::{JobId, JobProgress, JobSpec},
+    plain,
+};
 
 /// A stream of records with keys. The newest record of every key is kept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -51,15 +54,6 @@
     pub sequence: u64,
 }
 
-/// What the store says of the entries as a group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Membership {
-    /// Changes with each change of the group.
-    pub generation: u64,
-    /// Whether this member is the one that is to lead.
-    pub leads: bool,
-}
-
 /// Why a call to the store gave no result.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
@@ -88,18 +82,26 @@
 
     /// Appends records, all or none. Returns the offset after them.
     async fn append(&self, stream: Stream, records: &[Record], mark: Option<LeaderMark>) -> Result<u64, StoreError>;
-
-    /// Joins the group of entries or stays in it for `ttl_ms`.
-    async fn join(&self, member: &str, ttl_ms: u64, generation: u64) -> Result<Membership, StoreError>;
-
-    /// Leaves the group of entries.
-    async fn leave(&self, member: &str) -> Result<(), StoreError>;
 }
 
 /// The key prefix of a submission in [`Stream::Jobs`].
 const SUBMITTED: &str = "submitted:";
 /// The key prefix of a cancellation in [`Stream::Jobs`].
 const CANCELLED: &str = "cancelled:";
+/// The key of the leader's sign of life in [`Stream::Progress`].
+const LEADER: &str = "leader";
+
+plain! {
+    /// A leader's sign of life.
+    pub struct LeaderRecord {
+        /// The leader's epoch.
+        pub epoch: u64,
+        /// The leader's name.
+        pub name: String,
+        /// Whether the leader has stopped to lead.
+        pub resigned: bool,
+    }
+}
 
 /// What a record of [`Stream::Jobs`] or [`Stream::Progress`] says.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -110,6 +112,8 @@
     Cancelled(JobId),
     /// The leader decided something about a job.
     Progressed(JobId, JobProgress),
+    /// Who leads.
+    Leader(LeaderRecord),
     /// A record expired.
     Removed,
 }
@@ -146,6 +150,15 @@
         encode(job.to_string(), progress)
     }
 
+    /// The record of a leader's sign of life.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot be encoded.
+    pub fn leader(leader: &LeaderRecord) -> Result<Record, RecordError> {
+        encode(LEADER.to_owned(), leader)
+    }
+
     /// Reads a record.
     ///
     /// # Errors
@@ -161,6 +174,9 @@
         if let Some(job) = record.key.strip_prefix(CANCELLED) {
             return job.parse().map(Self::Cancelled).map_err(|e| error(&e));
         }
+        if record.key == LEADER {
+            return postcard::from_bytes(value).map(Self::Leader).map_err(|e| error(&e));
+        }
         let job = record.key.parse().map_err(|e| error(&e))?;
         postcard::from_bytes(value).map(|progress| Self::Progressed(job, progress)).map_err(|e| error(&e))
     }
