--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -17,6 +17,7 @@
     units::TimeMs,
 };
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::TcpListener,
     sync::{Notify, mpsc},
     task::spawn_local,
@@ -164,7 +165,12 @@
     async fn serve(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => drop(spawn_local(session::accept(self.clone(), stream))),
+                Ok((stream, _)) => {
+                    if let Err(e) = stream.set_nodelay(true) {
+                        log::debug!("cannot set TCP_NODELAY: error={e}");
+                    }
+                    spawn_local(self.clone().session(stream));
+                }
                 Err(e) => {
                     log::warn!("cannot accept a connection: host={} error={e}", self.name);
                     sleep(Duration::from_millis(RETRY_MS)).await;
@@ -173,6 +179,11 @@
         }
     }
 
+    /// Serves the leader at the other end of a connection, until the connection or the session ends.
+    pub async fn session(self: Rc<Self>, stream: impl AsyncRead + AsyncWrite + 'static) {
+        session::accept(self, stream).await;
+    }
+
     /// Opens the session of a leader, unless a later leader has been here. Returns what to say to the leader.
     pub(crate) fn open(&self, epoch: u64, leader: &str) -> Result<mpsc::UnboundedReceiver<ToLeader>, u64> {
         let mut state = self.state.borrow_mut();
@@ -192,7 +203,7 @@
         self.clock.now()
     }
 
-    /// Whether the session that was opened for `epoch` with `receiver` is still the current one.
+    /// Carries out what the leader says.
     pub(crate) fn handle(self: &Rc<Self>, message: ToAgent) {
         match message {
             ToAgent::Hello { .. } => {}
@@ -365,8 +376,9 @@
                 let mut state = self.state.borrow_mut();
                 let deadline = state.deadline(asked);
                 let serving = state.orders.values().any(|order| order.tail_target_ms.is_some());
+                let silent = asked.since_ms(state.heard_at) > SILENCE_MS;
                 let wait_ms = match () {
-                    () if state.clock.is_none() || !state.ends.is_empty() => 0,
+                    () if silent || state.clock.is_none() || !state.ends.is_empty() => 0,
                     () if serving => SERVING_REPORT_WAIT_MS,
                     () => REPORT_WAIT_MS,
                 };
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -103,6 +103,8 @@
     leader: Option<mpsc::UnboundedSender<LeaderEvent>>,
     /// The highest epoch of a leader that was seen.
     epoch: u64,
+    /// The store refused epochs below this one.
+    epoch_floor: u64,
     /// The name of that leader.
     leader_name: String,
     /// Whether that leader has resigned.
@@ -142,6 +144,11 @@
         self.clone().take_part(stop).await;
     }
 
+    /// The name of the entry.
+    pub fn name(&self) -> &str {
+        &self.config.name
+    }
+
     /// Whether the entry has read everything that it needs to answer clients.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
@@ -269,8 +276,8 @@
                         log::info!("store regained: stream={stream:?} next={}", page.next);
                     }
                     pause_ms = FIRST_PAUSE_MS;
-                    if stream == Stream::Progress && !page.records.is_empty() {
-                        self.state.borrow_mut().quiet_since = self.config.clock.now();
+                    if from.is_none() {
+                        log::info!("stream read: stream={stream:?} records={} next={}", page.records.len(), page.next);
                     }
                     self.apply(stream, page);
                     let spacing_ms = match stream {
@@ -323,6 +330,9 @@
 
     fn apply(&self, stream: Stream, page: Page) {
         let mut state = self.state.borrow_mut();
+        if stream == Stream::Progress && !page.records.is_empty() {
+            state.quiet_since = self.config.clock.now();
+        }
         for record in &page.records {
             match stream {
                 Stream::Operator => match (self.config.read_operator)(record) {
@@ -366,9 +376,13 @@
                     break;
                 }
             }
-            if self.is_ready() {
+            if self.is_ready() && self.still_without_leader().await {
                 let chance = rand::rng().random_range(0..EPOCHS_PER_MS);
-                let epoch = (clock.unix_ms() * EPOCHS_PER_MS + chance).max(self.state.borrow().epoch + 1 + chance);
+                let floor = {
+                    let state = self.state.borrow();
+                    state.epoch.max(state.epoch_floor) + 1 + chance
+                };
+                let epoch = (clock.unix_ms() * EPOCHS_PER_MS + chance).max(floor);
                 let leading = Leading::new(self.config.name.clone(), epoch, self.config.plan, clock);
                 leader::lead(self.clone(), Rc::new(leading), stop.clone()).await;
             }
@@ -378,17 +392,34 @@
         }
     }
 
+    /// Reads the newest records, which may show that another entry has just taken over.
+    async fn still_without_leader(&self) -> bool {
+        let before = self.state.borrow().epoch;
+        let quiet_since = self.state.borrow().quiet_since;
+        match self.catch_up(Stream::Progress).await {
+            Ok(()) => {
+                let state = self.state.borrow();
+                state.epoch == before && (state.resigned || state.quiet_since == quiet_since)
+            }
+            Err(error) => {
+                log::warn!("cannot take over: entry={} error={error}", self.config.name);
+                false
+            }
+        }
+    }
+
+    /// Makes the epochs of this entry higher than `epoch` from now on.
+    pub(crate) fn raise_epoch_floor(&self, epoch: u64) {
+        let mut state = self.state.borrow_mut();
+        state.epoch_floor = state.epoch_floor.max(epoch);
+    }
+
     /// Whether the latest leader that was seen has this name and epoch.
     pub(crate) fn is_leader(&self, name: &str, epoch: u64) -> bool {
         let state = self.state.borrow();
         state.epoch == epoch && state.leader_name == name
     }
 
-    /// The highest epoch of a leader that was seen.
-    pub(crate) fn last_epoch(&self) -> u64 {
-        self.state.borrow().epoch
-    }
-
     /// Starts or ends the flow of news to the leader's task.
     pub(crate) fn set_leading(&self, sender: Option<mpsc::UnboundedSender<LeaderEvent>>) {
         self.leading.set(sender.is_some());
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -186,8 +186,9 @@
                 break;
             }
             Err(StoreError::Fenced) => {
-                let epoch = leading.epoch.get().max(entry.last_epoch());
-                leading.epoch.set(epoch + EPOCH_STEP);
+                // Another entry was faster, or failed at the same point with a clock that is ahead of this one.
+                entry.raise_epoch_floor(leading.epoch.get() + EPOCH_STEP);
+                return false;
             }
             Err(error) => {
                 log::warn!("cannot take over yet: entry={} error={error}", leading.name);
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -14,7 +14,7 @@
     units::TimeMs,
 };
 use tokio::{
-    io::{AsyncWriteExt, BufReader},
+    io::{AsyncRead, AsyncWrite, AsyncWriteExt, BufReader},
     net::TcpStream,
     sync::mpsc,
     time::{Instant, interval, sleep, timeout},
@@ -38,11 +38,8 @@
 const LONGEST_REDIAL_MS: u64 = 1_000;
 
 /// Serves a leader that connected.
-pub(crate) async fn accept(agent: Rc<Agent>, stream: TcpStream) {
-    if let Err(e) = stream.set_nodelay(true) {
-        log::debug!("cannot set TCP_NODELAY: error={e}");
-    }
-    let (read_half, mut write_half) = stream.into_split();
+pub(crate) async fn accept(agent: Rc<Agent>, stream: impl AsyncRead + AsyncWrite + 'static) {
+    let (read_half, mut write_half) = tokio::io::split(stream);
     let mut reader = BufReader::new(read_half);
     let hello = timeout(Duration::from_millis(SILENCE_MS), message::read::<ToAgent>(&mut reader)).await;
     let Ok(Ok(ToAgent::Hello { epoch, leader })) = hello else {
--- /dev/null
+++ b/crates/fleet/tests/leadership.rs
@@ -0,0 +1,244 @@
+//! Who leads: one entry at a time, soon after the last one stopped, and not because the store was away.
+
+mod support;
+
+use std::{rc::Rc, time::Duration};
+
+use fescuelead_core::jobs::{JobId, JobSpec, JobStatus, QueueSettings, StepSpec, lease::LeasePlan};
+use fescuelead_fleet::{
+    clock::Clock,
+    directory::{Directory, OperatorChange, Route},
+    entry::{Entry, EntryConfig, Lookup, RequestError},
+    store::{JobRecord, LeaderRecord, Record, Stream},
+};
+use support::MemoryStore;
+use tokio::{
+    task::{JoinHandle, LocalSet, spawn_local},
+    time::{Instant, sleep},
+};
+use tokio_util::sync::CancellationToken;
+
+const JOB: JobId = JobId(7);
+
+fn settings() -> QueueSettings {
+    QueueSettings { service: "desk".to_owned(), priority: 0, max_failures: 3, stretch_percent: 150, latency_ms: 250 }
+}
+
+/// In these tests the value of an operator's record is the version, and each version has one route.
+fn read_operator(record: &Record) -> Result<OperatorChange, String> {
+    let version = u64::from(*record.value.as_ref().and_then(|value| value.first()).ok_or("no version")?);
+    let route = Route {
+        queue: format!("queue-{version}"),
+        host: "desk.example".to_owned(),
+        path_prefix: "/previews/".to_owned(),
+        settings: settings(),
+    };
+    Ok(OperatorChange::Configured(Directory::new(version, [route])))
+}
+
+struct Process {
+    entry: Rc<Entry>,
+    store: MemoryStore,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+fn start(name: &str, shared: &MemoryStore, started: Instant) -> Process {
+    let store = shared.for_another_process();
+    let config = EntryConfig {
+        name: name.to_owned(),
+        plan: LeasePlan::new(6_000),
+        clock: Clock::Runtime { start: started, unix_ms: 1_700_000_000_000 },
+        read_operator,
+    };
+    let entry = Entry::new(config, Box::new(store.clone()));
+    let stop = CancellationToken::new();
+    let task = spawn_local(entry.clone().run(stop.clone()));
+    Process { entry, store, stop, task }
+}
+
+fn site() -> (MemoryStore, Instant) {
+    let store = MemoryStore::default();
+    store.put(Stream::Operator, Record::new("config", vec![1]));
+    (store, Instant::now())
+}
+
+/// The signs of life of leaders, in order.
+fn signs(store: &MemoryStore) -> Vec<LeaderRecord> {
+    let records = store.records(Stream::Progress);
+    let decoded = records.iter().filter_map(|record| JobRecord::decode(record).ok());
+    decoded
+        .filter_map(|record| match record {
+            JobRecord::Leader(leader) => Some(leader),
+            _ => None,
+        })
+        .collect()
+}
+
+fn leader(store: &MemoryStore) -> Option<String> {
+    signs(store).pop().filter(|leader| !leader.resigned).map(|leader| leader.name)
+}
+
+async fn wait(ms: u64) {
+    sleep(Duration::from_millis(ms)).await;
+}
+
+fn spec() -> JobSpec {
+    let step = StepSpec { tasks: 2, estimate_ms: 500, ..StepSpec::default() };
+    JobSpec {
+        queue: "queue-1".to_owned(),
+        settings: settings(),
+        accepted_unix_ms: 0,
+        payload: String::new(),
+        steps: vec![step],
+        repeat: None,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_of_several_entries_leads() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, started) = site();
+            let processes: Vec<_> = ["a", "b", "c"].map(|name| start(name, &store, started)).into();
+            wait(10_000).await;
+            let names: std::collections::BTreeSet<_> =
+                signs(&store).into_iter().skip(3).map(|sign| sign.name).collect();
+            assert_eq!(names.len(), 1, "{names:?}");
+            assert!(processes.iter().all(|process| process.entry.is_ready()));
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_entry_succeeds_a_leader_that_stops_at_once() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, started) = site();
+            let processes: Vec<_> = ["a", "b"].map(|name| start(name, &store, started)).into();
+            wait(5_000).await;
+            let first = leader(&store).expect("a leader");
+            let stopping = processes.iter().find(|process| process.entry.name() == first).expect("its process");
+            stopping.stop.cancel();
+            wait(600).await;
+            let second = leader(&store).expect("a leader");
+            assert_ne!(first, second);
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_entry_succeeds_a_leader_that_dies() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, started) = site();
+            let processes: Vec<_> = ["a", "b"].map(|name| start(name, &store, started)).into();
+            wait(5_000).await;
+            let first = leader(&store).expect("a leader");
+            let dying = processes.iter().find(|process| process.entry.name() == first).expect("its process");
+            dying.store.down.set(true);
+            wait(2_500).await;
+            let second = leader(&store).expect("a leader");
+            assert_ne!(first, second);
+            // The first one finds out when it reaches the store again.
+            dying.store.down.set(false);
+            wait(3_000).await;
+            assert_eq!(leader(&store), Some(second));
+            assert!(!dying.task.is_finished());
+        })
+        .await;
+}
+
+/// After an outage of the whole store nobody has heard of the leader, which has heard of nobody either.
+#[tokio::test(start_paused = true)]
+async fn an_outage_of_the_store_does_not_replace_the_leader() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, started) = site();
+            let processes: Vec<_> = ["a", "b", "c"].map(|name| start(name, &store, started)).into();
+            wait(5_000).await;
+            let first = leader(&store).expect("a leader");
+            processes.iter().for_each(|process| process.store.down.set(true));
+            wait(20_000).await;
+            processes.iter().for_each(|process| process.store.down.set(false));
+            wait(5_000).await;
+            assert_eq!(leader(&store), Some(first));
+        })
+        .await;
+}
+
+/// The store takes the records of a second leader with the same epoch for repetitions of the first one's, and drops them.
+/// Both would think that their records are stored.
+#[tokio::test(start_paused = true)]
+async fn an_entry_does_not_lead_with_the_epoch_of_another() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, started) = site();
+            store.rival.set(true);
+            let process = start("a", &store, started);
+            wait(2_500).await;
+            let signs = signs(&store);
+            assert_eq!(signs.iter().map(|sign| sign.name.as_str()).collect::<Vec<_>>(), ["rival"]);
+            // The rival is silent from then on.
+            wait(2_500).await;
+            assert_eq!(leader(&store).as_deref(), Some("a"));
+            drop(process);
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_accepted_by_one_entry_is_known_to_all() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, started) = site();
+            let processes: Vec<_> = ["a", "b"].map(|name| start(name, &store, started)).into();
+            wait(3_000).await;
+            let deadline = fescuelead_core::units::TimeMs(u64::MAX);
+            processes[0].entry.submit(JOB, spec(), deadline).await.expect("accepted");
+            // At once, since the client may ask any entry.
+            assert_eq!(processes[1].entry.status(JOB).await, Ok(Some(JobStatus::Queued)));
+            assert_eq!(processes[1].entry.status(JobId(8)).await, Ok(None));
+            assert_eq!(processes[1].entry.cancel(JOB, deadline).await, Ok(true));
+            wait(1_000).await;
+            assert_eq!(processes[0].entry.status(JOB).await, Ok(Some(JobStatus::Cancelled)));
+        })
+        .await;
+}
+
+/// A client that is told that its job was not accepted may submit other work instead.
+#[tokio::test(start_paused = true)]
+async fn a_refusal_says_whether_the_job_may_have_been_accepted() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, started) = site();
+            let process = start("a", &store, started);
+            wait(3_000).await;
+            let deadline = |ms| fescuelead_core::units::TimeMs(1_000_000 + started.elapsed().as_millis() as u64 + ms);
+            process.store.down.set(true);
+            let refused = process.entry.submit(JOB, spec(), deadline(500)).await;
+            assert!(matches!(refused, Err(RequestError::NotDone(_))), "{refused:?}");
+            process.store.down.set(false);
+            process.store.lose_answers.set(1_000);
+            let unknown = process.entry.submit(JOB, spec(), deadline(500)).await;
+            assert!(matches!(unknown, Err(RequestError::Unknown(_))), "{unknown:?}");
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_configuration_never_reverts() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, started) = site();
+            let process = start("a", &store, started);
+            wait(1_000).await;
+            store.put(Stream::Operator, Record::new("config", vec![3]));
+            store.put(Stream::Operator, Record::new("config", vec![2]));
+            wait(1_000).await;
+            assert_eq!(process.entry.version(), Some(3));
+            let Lookup::Found(route) = process.entry.route("desk.example", "/previews/1") else { panic!("no route") };
+            assert_eq!(route.queue, "queue-3");
+        })
+        .await;
+}
