Let entries on slow links read all records

Found by the log line for a status that is not known. Ruled out: the paging of the newest records, removed routes.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -267,7 +267,7 @@
             }
             let from = self.state.borrow().next.get(&stream).copied();
             let answer = match from {
-                None => self.bounded(self.store.newest(stream)).await,
+                None => self.store.newest(stream).await,
                 Some(from) => self.store.read(stream, from, READ_WAIT_MS).await,
             };
             match answer {
@@ -310,7 +310,7 @@
         loop {
             let from = self.state.borrow().next.get(&stream).copied();
             let page = match from {
-                None => self.bounded(self.store.newest(stream)).await?,
+                None => self.store.newest(stream).await?,
                 Some(from) => match self.bounded(self.store.read(stream, from, 0)).await {
                     Ok(page) => page,
                     Err(StoreError::Expired) => {
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -74,7 +74,8 @@
 /// The platform's store.
 #[async_trait(?Send)]
 pub trait Store {
-    /// The newest record of every key, and the offset from which to read on.
+    /// The newest record of every key, and the offset from which to read on. Gives up by itself if no answer comes; how
+    /// long a whole one takes depends on its size and on the link.
     async fn newest(&self, stream: Stream) -> Result<Page, StoreError>;
 
     /// The records from an offset on. Waits up to `wait_ms` for one.
