--- a/crates/core/src/jobs/hosts.rs
+++ b/crates/core/src/jobs/hosts.rs
@@ -187,6 +187,18 @@
         (left * u32::from(self.paced_percent) / 100).saturating_sub(self.background_cpu_milli)
     }
 
+    /// What is committed to tasks with processors of their own.
+    pub fn used(&self) -> Resources {
+        self.used
+    }
+
+    /// Whether processors that are not committed are left for one more background task, at whatever speed the host runs
+    /// these now.
+    pub fn has_uncommitted(&self, step: &StepSpec) -> bool {
+        let wanted = self.background_cpu_milli + step.resources.cpu_milli;
+        self.info.as_ref().is_some_and(|info| info.capacity.cpu_milli.saturating_sub(self.used.cpu_milli) >= wanted)
+    }
+
     /// How good a place this is for a task of `step`; higher is better.
     ///
     /// Background tasks disturb tasks that serve users, and are paced down beside them. Serving tasks are therefore packed
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -19,7 +19,7 @@
     replica::Replica,
     spec::{JobId, JobSpec, QueueSettings, StepSpec, TaskRef},
 };
-use crate::units::TimeMs;
+use crate::units::{Resources, TimeMs};
 
 plain! {
     /// A time, on both clocks.
@@ -597,17 +597,22 @@
         if step.gang {
             self.place_gang(&spec, step, &service, &waiting, tasks.len(), now);
         } else {
-            let mut crowd = job.idle_since.is_some_and(|since| now.since_ms(since) >= IDLE_MS);
+            let idle = job.idle_since.is_some_and(|since| now.since_ms(since) >= IDLE_MS);
+            let mostly_free = step.background && self.is_mostly_free(&service);
+            let mut first = true;
             for (task, run) in &waiting {
                 let mut host = self.best_host(task, step, &service, None, now);
-                if host.is_none() && crowd && step.background {
+                if host.is_none() && step.background && (mostly_free || (idle && first)) {
                     // Only memory and accelerators bind a task without processors of its own.
                     let mut least = step.clone();
                     least.resources.cpu_milli = 0;
                     host = self.best_host(task, &least, &service, None, now);
+                    if !idle || !first {
+                        host = host.filter(|host| self.hosts[host].has_uncommitted(step));
+                    }
                 }
+                first = false;
                 let Some(host) = host else { break };
-                crowd = false;
                 self.assign(task, run + 1, host, &spec);
             }
         }
@@ -619,6 +624,18 @@
         }
     }
 
+    /// Whether less than half of the processors and of the memory of a service is committed. Linear in the number of hosts.
+    fn is_mostly_free(&self, service: &str) -> bool {
+        let (mut used, mut total) = (Resources::ZERO, Resources::ZERO);
+        for host in self.hosts.values() {
+            if let Some(info) = host.info.as_ref().filter(|info| info.service == service) {
+                used = used.plus(&host.used());
+                total = total.plus(&info.capacity);
+            }
+        }
+        used.cpu_milli < total.cpu_milli / 2 && used.memory_mib < total.memory_mib / 2
+    }
+
     /// Places all tasks of a gang at once or none. They share the number of the run.
     fn place_gang(
         &mut self,
