Refuse submissions at once while the store is away

Now tries are limited by the deadline; once the store has taken nothing for 0.3 s, one request in 0.3 s tries it and the others are refused as not run. Both new tests failed before.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -40,6 +40,11 @@
 const FOLLOW_SPACING_MS: u64 = 100;
 /// The pause between two reads of submissions by entries that do not lead, in milliseconds.
 const SUBMISSIONS_SPACING_MS: u64 = 300;
+/// A store that has taken no record for this long is away, in milliseconds: longer than a refusal for its rate lasts.
+const AWAY_MS: u64 = 300;
+/// While the store is away, one request in this time tries it, in milliseconds: it finds out soon that the store is back,
+/// and few clients wait in vain.
+const TRIAL_SPACING_MS: u64 = 300;
 /// The longest pause after a failed call to the store, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 400;
 /// The first such pause, in milliseconds.
@@ -120,6 +125,15 @@
     state: RefCell<State>,
     leading: Cell<bool>,
     leading_changed: Notify,
+    away: Cell<Option<Away>>,
+}
+
+/// The store does not answer.
+#[derive(Debug, Clone, Copy)]
+struct Away {
+    since: TimeMs,
+    /// When a client's request last tried all the same.
+    tried: TimeMs,
 }
 
 impl Entry {
@@ -131,6 +145,7 @@
             state: RefCell::default(),
             leading: Cell::new(false),
             leading_changed: Notify::new(),
+            away: Cell::new(None),
         })
     }
 
@@ -226,20 +241,34 @@
         self.state.borrow().replica.pending(queue)
     }
 
-    /// Appends a client's record, and repeats this while the outcome is unknown and there is time.
+    /// Appends a client's record, and repeats this while the outcome is unknown and there is time. While the store is away,
+    /// only some requests try; the others are refused at once.
     async fn append_request(&self, record: Record, deadline: TimeMs) -> Result<(), RequestError> {
+        let clock = self.config.clock;
+        if let Some(away) = self.away.get().filter(|away| clock.now().since_ms(away.since) >= AWAY_MS) {
+            if clock.now().since_ms(away.tried) < TRIAL_SPACING_MS {
+                let since_ms = clock.now().since_ms(away.since);
+                return Err(RequestError::NotDone(format!("the store has been away for {since_ms} ms")));
+            }
+            self.away.set(Some(Away { tried: clock.now(), ..away }));
+        }
         let records = [record];
         let mut unknown = None;
         let mut pause_ms = FIRST_PAUSE_MS;
         loop {
-            let error = match self.bounded(self.store.append(Stream::Jobs, &records, None)).await {
-                Ok(_) => return Ok(()),
+            let left_ms = deadline.since_ms(clock.now()).min(STORE_CALL_MS);
+            let error = match self.limited(left_ms, self.store.append(Stream::Jobs, &records, None)).await {
+                Ok(_) => {
+                    self.away.set(None);
+                    return Ok(());
+                }
                 Err(error) => error,
             };
+            let is_away = self.note_away();
             if let StoreError::Unknown(message) = &error {
                 unknown = Some(message.clone());
             }
-            if self.config.clock.now().plus_ms(pause_ms) >= deadline {
+            if is_away || clock.now().plus_ms(pause_ms) >= deadline {
                 return Err(match unknown {
                     Some(message) => RequestError::Unknown(message),
                     None => RequestError::NotDone(error.to_string()),
@@ -249,10 +278,26 @@
         }
     }
 
+    /// Notes that the store did not take a record. Returns whether it is away, and not only for a moment.
+    fn note_away(&self) -> bool {
+        let now = self.config.clock.now();
+        let since = self.away.get().map_or(now, |away| away.since);
+        self.away.set(Some(Away { since, tried: now }));
+        now.since_ms(since) >= AWAY_MS
+    }
+
     pub(crate) async fn bounded<T>(&self, call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
-        match timeout(Duration::from_millis(STORE_CALL_MS), call).await {
+        self.limited(STORE_CALL_MS, call).await
+    }
+
+    async fn limited<T>(
+        &self,
+        limit_ms: u64,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        match timeout(Duration::from_millis(limit_ms), call).await {
             Ok(answer) => answer,
-            Err(_) => Err(StoreError::Unknown(format!("none within {STORE_CALL_MS} ms"))),
+            Err(_) => Err(StoreError::Unknown(format!("none within {limit_ms} ms"))),
         }
     }
 
@@ -272,6 +317,7 @@
             };
             match answer {
                 Ok(page) => {
+                    self.away.set(None);
                     if std::mem::take(&mut lost) {
                         log::info!("store regained: stream={stream:?} next={}", page.next);
                     }
--- a/crates/fleet/tests/leadership.rs
+++ b/crates/fleet/tests/leadership.rs
@@ -242,3 +242,52 @@
         })
         .await;
 }
+
+/// A client that is answered after its deadline has been kept waiting for nothing.
+#[tokio::test(start_paused = true)]
+async fn a_submission_is_answered_before_its_deadline() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, started) = site();
+            let process = start("a", &store, started);
+            wait(3_000).await;
+            process.store.silent.set(true);
+            let asked = Instant::now();
+            let deadline = fescuelead_core::units::TimeMs(1_000_000 + started.elapsed().as_millis() as u64 + 700);
+            let unknown = process.entry.submit(JOB, spec(), deadline).await;
+            assert!(matches!(unknown, Err(RequestError::Unknown(_))), "{unknown:?}");
+            assert!(asked.elapsed() <= Duration::from_millis(700), "{:?}", asked.elapsed());
+        })
+        .await;
+}
+
+/// All clients waited for their whole deadlines while the store was away, and came back at the same time.
+#[tokio::test(start_paused = true)]
+async fn submissions_are_refused_at_once_while_the_store_is_away() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, started) = site();
+            let process = start("a", &store, started);
+            wait(3_000).await;
+            let deadline = || fescuelead_core::units::TimeMs(1_000_000 + started.elapsed().as_millis() as u64 + 3_000);
+            process.store.silent.set(true);
+            let first = process.entry.submit(JobId(1), spec(), deadline()).await;
+            assert!(matches!(first, Err(RequestError::Unknown(_))), "{first:?}");
+            let mut refused = 0;
+            for id in 2..22 {
+                let asked = Instant::now();
+                let answer = process.entry.submit(JobId(id), spec(), deadline()).await;
+                refused += u32::from(matches!(answer, Err(RequestError::NotDone(_))) && asked.elapsed().is_zero());
+                wait(20).await;
+            }
+            assert!(refused >= 15, "{refused}");
+            process.store.silent.set(false);
+            wait(TRIAL_MS).await;
+            assert_eq!(process.entry.submit(JobId(30), spec(), deadline()).await, Ok(()));
+            assert_eq!(process.entry.submit(JobId(31), spec(), deadline()).await, Ok(()));
+        })
+        .await;
+}
+
+/// Longer than the time between two requests that try a store that is away.
+const TRIAL_MS: u64 = 400;
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -38,6 +38,8 @@
     changed: Rc<Notify>,
     /// Calls of this clone are refused.
     pub down: Rc<Cell<bool>>,
+    /// Calls of this clone are neither carried out nor answered.
+    pub silent: Rc<Cell<bool>>,
     /// The next appends take effect and are not answered.
     pub lose_answers: Rc<Cell<u32>>,
     /// When the next leader takes over, another one has just done so with the same epoch.
@@ -47,7 +49,7 @@
 impl MemoryStore {
     /// A clone whose faults are its own.
     pub fn for_another_process(&self) -> Self {
-        Self { down: Rc::default(), lose_answers: Rc::default(), ..self.clone() }
+        Self { down: Rc::default(), silent: Rc::default(), lose_answers: Rc::default(), ..self.clone() }
     }
 
     /// All records of a stream.
@@ -62,6 +64,9 @@
     }
 
     async fn answer(&self) -> Result<(), StoreError> {
+        if self.silent.get() {
+            std::future::pending::<()>().await;
+        }
         sleep(Duration::from_millis(ANSWER_MS)).await;
         if self.down.get() {
             return Err(StoreError::NotDone("down".to_owned()));
