Do not say that a job was not accepted when an earlier try may still be

Cause: a submission without an answer from the store (504) may take effect later; a second one of the same job within the outage was refused at once as not run (503). An entry now answers that the outcome is unknown for 60 s after such a try. Other entries cannot know of the try; the message of a refusal speaks of its own request only.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -40,6 +40,8 @@
 const FOLLOW_SPACING_MS: u64 = 100;
 /// The pause between two reads of submissions by entries that do not lead, in milliseconds.
 const SUBMISSIONS_SPACING_MS: u64 = 300;
+/// For how long a submission without an answer may still take effect, in milliseconds: five times what the platform states.
+const UNKNOWN_MS: u64 = 60_000;
 /// A store that has taken no record for this long is away, in milliseconds: longer than a refusal for its rate lasts.
 const AWAY_MS: u64 = 300;
 /// While the store is away, one request in this time tries it, in milliseconds: it finds out soon that the store is back,
@@ -126,6 +128,8 @@
     leading: Cell<bool>,
     leading_changed: Notify,
     away: Cell<Option<Away>>,
+    /// Jobs whose submission had no known outcome, and when.
+    unknown: RefCell<BTreeMap<JobId, TimeMs>>,
 }
 
 /// The store does not answer.
@@ -146,6 +150,7 @@
             leading: Cell::new(false),
             leading_changed: Notify::new(),
             away: Cell::new(None),
+            unknown: RefCell::default(),
         })
     }
 
@@ -195,7 +200,8 @@
             return Ok(());
         }
         let record = JobRecord::submitted(job, &spec).map_err(|e| RequestError::NotDone(e.to_string()))?;
-        self.append_request(record, deadline).await?;
+        let stored = self.append_request(record, deadline).await;
+        self.remember_unknown(job, stored)?;
         let mut state = self.state.borrow_mut();
         if state.replica.submitted(job, spec) {
             state.tell_submitted(job);
@@ -203,6 +209,30 @@
         Ok(())
     }
 
+    /// A job whose earlier submission here had no known outcome may be accepted yet, so that a later refusal must not say
+    /// that it was not.
+    fn remember_unknown(&self, job: JobId, outcome: Result<(), RequestError>) -> Result<(), RequestError> {
+        let now = self.config.clock.now();
+        let mut unknown = self.unknown.borrow_mut();
+        match outcome {
+            Ok(()) => {
+                unknown.remove(&job);
+                Ok(())
+            }
+            Err(RequestError::Unknown(message)) => {
+                unknown.retain(|_, at| now.since_ms(*at) < UNKNOWN_MS);
+                unknown.insert(job, now);
+                Err(RequestError::Unknown(message))
+            }
+            Err(RequestError::NotDone(message)) => match unknown.get(&job) {
+                Some(at) if now.since_ms(*at) < UNKNOWN_MS => {
+                    Err(RequestError::Unknown(format!("an earlier try had no answer; {message}")))
+                }
+                _ => Err(RequestError::NotDone(message)),
+            },
+        }
+    }
+
     /// Cancels a job. Returns whether it exists.
     ///
     /// # Errors
--- a/crates/fleet/tests/leadership.rs
+++ b/crates/fleet/tests/leadership.rs
@@ -219,6 +219,7 @@
             let refused = process.entry.submit(JOB, spec(), deadline(500)).await;
             assert!(matches!(refused, Err(RequestError::NotDone(_))), "{refused:?}");
             process.store.down.set(false);
+            wait(TRIAL_MS).await;
             process.store.lose_answers.set(1_000);
             let unknown = process.entry.submit(JOB, spec(), deadline(500)).await;
             assert!(matches!(unknown, Err(RequestError::Unknown(_))), "{unknown:?}");
@@ -273,6 +274,9 @@
             process.store.silent.set(true);
             let first = process.entry.submit(JobId(1), spec(), deadline()).await;
             assert!(matches!(first, Err(RequestError::Unknown(_))), "{first:?}");
+            // The first try may take effect when the store is back, so a refusal would not be true.
+            let again = process.entry.submit(JobId(1), spec(), deadline()).await;
+            assert!(matches!(again, Err(RequestError::Unknown(_))), "{again:?}");
             let mut refused = 0;
             for id in 2..22 {
                 let asked = Instant::now();
