--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -14,7 +14,7 @@
 };
 
 use fescuelead_core::{
-    jobs::{HostName, JobId, JobSpec, JobStatus, Replica, lease::LeasePlan, replica::JobCopy},
+    jobs::{HostName, JobId, JobSpec, Replica, lease::LeasePlan},
     units::TimeMs,
 };
 use rand::RngExt;
@@ -40,13 +40,6 @@
 const FOLLOW_SPACING_MS: u64 = 100;
 /// The pause between two reads of submissions by entries that do not lead, in milliseconds.
 const SUBMISSIONS_SPACING_MS: u64 = 300;
-/// For how long a submission without an answer may still take effect, in milliseconds: five times what the platform states.
-const UNKNOWN_MS: u64 = 60_000;
-/// A store that has taken no record for this long is away, in milliseconds: longer than a refusal for its rate lasts.
-const AWAY_MS: u64 = 300;
-/// While the store is away, one request in this time tries it, in milliseconds: it finds out soon that the store is back,
-/// and few clients wait in vain.
-const TRIAL_SPACING_MS: u64 = 300;
 /// The longest pause after a failed call to the store, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 400;
 /// The first such pause, in milliseconds.
@@ -78,17 +71,6 @@
     pub read_operator: fn(&Record) -> Result<OperatorChange, String>,
 }
 
-/// Why a request of a client was not carried out.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum RequestError {
-    /// It did not take effect and will not.
-    #[error("the request was not carried out ({0}); send it again")]
-    NotDone(String),
-    /// It may have taken effect.
-    #[error("it is not known whether the request was carried out ({0}); send it again with the same id")]
-    Unknown(String),
-}
-
 /// Where a request is to go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Lookup {
@@ -132,13 +114,10 @@
     unknown: RefCell<BTreeMap<JobId, TimeMs>>,
 }
 
-/// The store does not answer.
-#[derive(Debug, Clone, Copy)]
-struct Away {
-    since: TimeMs,
-    /// When a client's request last tried all the same.
-    tried: TimeMs,
-}
+mod requests;
+
+use requests::Away;
+pub use requests::RequestError;
 
 impl Entry {
     /// Makes an entry.
@@ -190,132 +169,6 @@
         }
     }
 
-    /// Accepts a job. A job whose id is known already is left as it is.
-    ///
-    /// # Errors
-    ///
-    /// See [`RequestError`].
-    pub async fn submit(&self, job: JobId, spec: JobSpec, deadline: TimeMs) -> Result<(), RequestError> {
-        if self.state.borrow().replica.job(job).is_some_and(|copy| copy.spec.is_some()) {
-            return Ok(());
-        }
-        let record = JobRecord::submitted(job, &spec).map_err(|e| RequestError::NotDone(e.to_string()))?;
-        let stored = self.append_request(record, deadline).await;
-        self.remember_unknown(job, stored)?;
-        let mut state = self.state.borrow_mut();
-        if state.replica.submitted(job, spec) {
-            state.tell_submitted(job);
-        }
-        Ok(())
-    }
-
-    /// A job whose earlier submission here had no known outcome may be accepted yet, so that a later refusal must not say
-    /// that it was not.
-    fn remember_unknown(&self, job: JobId, outcome: Result<(), RequestError>) -> Result<(), RequestError> {
-        let now = self.config.clock.now();
-        let mut unknown = self.unknown.borrow_mut();
-        match outcome {
-            Ok(()) => {
-                unknown.remove(&job);
-                Ok(())
-            }
-            Err(RequestError::Unknown(message)) => {
-                unknown.retain(|_, at| now.since_ms(*at) < UNKNOWN_MS);
-                unknown.insert(job, now);
-                Err(RequestError::Unknown(message))
-            }
-            Err(RequestError::NotDone(message)) => match unknown.get(&job) {
-                Some(at) if now.since_ms(*at) < UNKNOWN_MS => {
-                    Err(RequestError::Unknown(format!("an earlier try had no answer; {message}")))
-                }
-                _ => Err(RequestError::NotDone(message)),
-            },
-        }
-    }
-
-    /// Cancels a job. Returns whether it exists.
-    ///
-    /// # Errors
-    ///
-    /// See [`RequestError`].
-    pub async fn cancel(&self, job: JobId, deadline: TimeMs) -> Result<bool, RequestError> {
-        let Some(status) = self.status(job).await? else { return Ok(false) };
-        if !matches!(status, JobStatus::Queued | JobStatus::Active) {
-            return Ok(true);
-        }
-        self.append_request(JobRecord::cancelled(job), deadline).await?;
-        let mut state = self.state.borrow_mut();
-        if state.replica.cancelled(job) {
-            state.tell(LeaderEvent::Cancelled(job));
-        }
-        Ok(true)
-    }
-
-    /// The status of a job; `None` if there is no such job.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the job is not known here and the store cannot be asked.
-    pub async fn status(&self, job: JobId) -> Result<Option<JobStatus>, RequestError> {
-        let known = self.state.borrow().replica.job(job).and_then(JobCopy::status);
-        if known.is_some() {
-            return Ok(known);
-        }
-        // Another entry may have accepted it a moment ago.
-        self.catch_up(Stream::Jobs).await.map_err(|e| RequestError::NotDone(e.to_string()))?;
-        Ok(self.state.borrow().replica.job(job).and_then(JobCopy::status))
-    }
-
-    /// The number of accepted jobs of a queue of which no task has started.
-    pub fn pending(&self, queue: &str) -> usize {
-        self.state.borrow().replica.pending(queue)
-    }
-
-    /// Appends a client's record, and repeats this while the outcome is unknown and there is time. While the store is away,
-    /// only some requests try; the others are refused at once.
-    async fn append_request(&self, record: Record, deadline: TimeMs) -> Result<(), RequestError> {
-        let clock = self.config.clock;
-        if let Some(away) = self.away.get().filter(|away| clock.now().since_ms(away.since) >= AWAY_MS) {
-            if clock.now().since_ms(away.tried) < TRIAL_SPACING_MS {
-                let since_ms = clock.now().since_ms(away.since);
-                return Err(RequestError::NotDone(format!("the store has been away for {since_ms} ms")));
-            }
-            self.away.set(Some(Away { tried: clock.now(), ..away }));
-        }
-        let records = [record];
-        let mut unknown = None;
-        let mut pause_ms = FIRST_PAUSE_MS;
-        loop {
-            let left_ms = deadline.since_ms(clock.now()).min(STORE_CALL_MS);
-            let error = match self.limited(left_ms, self.store.append(Stream::Jobs, &records, None)).await {
-                Ok(_) => {
-                    self.away.set(None);
-                    return Ok(());
-                }
-                Err(error) => error,
-            };
-            let is_away = self.note_away();
-            if let StoreError::Unknown(message) = &error {
-                unknown = Some(message.clone());
-            }
-            if is_away || clock.now().plus_ms(pause_ms) >= deadline {
-                return Err(match unknown {
-                    Some(message) => RequestError::Unknown(message),
-                    None => RequestError::NotDone(error.to_string()),
-                });
-            }
-            pause(&mut pause_ms).await;
-        }
-    }
-
-    /// Notes that the store did not take a record. Returns whether it is away, and not only for a moment.
-    fn note_away(&self) -> bool {
-        let now = self.config.clock.now();
-        let since = self.away.get().map_or(now, |away| away.since);
-        self.away.set(Some(Away { since, tried: now }));
-        now.since_ms(since) >= AWAY_MS
-    }
-
     pub(crate) async fn bounded<T>(&self, call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
         self.limited(STORE_CALL_MS, call).await
     }
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -58,6 +58,13 @@
     scheduler: Scheduler,
     sessions: BTreeMap<HostName, Session>,
     session_events: mpsc::UnboundedSender<(HostName, SessionEvent)>,
+    /// The sequence number of the latest append.
+    sequence: u64,
+    /// What is being stored.
+    storing: Option<Batch>,
+    stored: mpsc::UnboundedSender<Result<u64, StoreError>>,
+    /// When the leader last showed that it lives.
+    signed_at: TimeMs,
 }
 
 impl Drop for Leader {
@@ -75,30 +82,12 @@
         },
         () = stop.cancelled() => return,
     }
-    let clock = entry.config.clock;
     let (sender, mut news) = mpsc::unbounded_channel();
     entry.set_leading(Some(sender));
-    let now = clock.moment();
-    let known_hosts = entry.hosts();
-    let mut scheduler =
-        entry.with_replica(|replica| Scheduler::new(leading.plan, replica, known_hosts.into_keys(), now));
-    scheduler.set_zones_out(entry.zones_out());
-    scheduler.set_queues(entry.directory().queues(), now);
-    log::info!(
-        "leading: entry={} epoch={} jobs={}",
-        leading.name,
-        leading.epoch.get(),
-        entry.with_replica(|replica| replica.jobs().count())
-    );
     let (session_events, mut said) = mpsc::unbounded_channel();
-    let mut leader =
-        Leader { entry: entry.clone(), leading: leading.clone(), scheduler, sessions: BTreeMap::new(), session_events };
-    leader.connect();
     let (stored_sender, mut stored) = mpsc::unbounded_channel();
-    let mut sequence = TAKE_OVER_SEQUENCE;
-    let mut storing: Option<Batch> = None;
-    // The first records show the others who leads.
-    let mut signed_at = TimeMs::default();
+    let mut leader = Leader::new(entry.clone(), leading.clone(), session_events, stored_sender);
+    leader.connect();
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     loop {
         tokio::select! {
@@ -116,50 +105,25 @@
             outcome = stored.recv() => {
                 let Some(Ok(next)) = outcome else { break };
                 entry.progress_stored(next);
-                if let Some(batch) = storing.take() {
+                if let Some(batch) = leader.storing.take() {
                     leader.carry_out(batch);
                 }
             }
             _ = ticks.tick() => {}
-            () = stop.cancelled(), if storing.is_none() => break,
+            () = stop.cancelled(), if leader.storing.is_none() => break,
         }
         if leading.superseded.get() {
             log::warn!("leadership lost to a later leader: entry={} epoch={}", leading.name, leading.epoch.get());
             break;
         }
-        leader.scheduler.tick(clock.moment());
-        if storing.is_some() {
-            continue;
-        }
-        let batch = leader.scheduler.take();
-        let silent = clock.now().since_ms(signed_at) >= SIGN_OF_LIFE_MS;
-        if batch.records.is_empty() && !silent {
-            leader.carry_out(batch);
-            continue;
+        leader.scheduler.tick(entry.config.clock.moment());
+        if leader.storing.is_none() {
+            leader.store_next();
         }
-        if silent {
-            signed_at = clock.now();
-        }
-        let appends = encode(&batch, silent.then(|| leading.record(false)));
-        let first = sequence + 1;
-        sequence += appends.len() as u64;
-        let (entry, leading, sender) = (entry.clone(), leading.clone(), stored_sender.clone());
-        spawn_local(async move {
-            let outcome = store(&entry, &leading, first, &appends).await;
-            if sender.send(outcome).is_err() {
-                log::debug!("the leader stopped while records were being stored");
-            }
-        });
-        storing = Some(batch);
     }
     entry.set_leading(None);
-    if stop.is_cancelled() && storing.is_none() {
-        log::info!("leadership given up: entry={} epoch={}", leading.name, leading.epoch.get());
-        let appends = encode(&Batch::default(), Some(leading.record(true)));
-        let resigning = store(&entry, &leading, sequence + 1, &appends);
-        if tokio::time::timeout(Duration::from_millis(RESIGN_MS), resigning).await.is_err() {
-            log::warn!("the others could not be told that the leader resigned: entry={}", leading.name);
-        }
+    if stop.is_cancelled() && leader.storing.is_none() {
+        leader.resign().await;
     }
 }
 
@@ -274,6 +238,70 @@
 }
 
 impl Leader {
+    /// Starts from the records that are stored.
+    fn new(
+        entry: Rc<Entry>,
+        leading: Rc<Leading>,
+        session_events: mpsc::UnboundedSender<(HostName, SessionEvent)>,
+        stored: mpsc::UnboundedSender<Result<u64, StoreError>>,
+    ) -> Self {
+        let now = entry.config.clock.moment();
+        let known_hosts = entry.hosts();
+        let mut scheduler =
+            entry.with_replica(|replica| Scheduler::new(leading.plan, replica, known_hosts.into_keys(), now));
+        scheduler.set_zones_out(entry.zones_out());
+        scheduler.set_queues(entry.directory().queues(), now);
+        let jobs = entry.with_replica(|replica| replica.jobs().count());
+        log::info!("leading: entry={} epoch={} jobs={jobs}", leading.name, leading.epoch.get());
+        Self {
+            entry,
+            leading,
+            scheduler,
+            sessions: BTreeMap::new(),
+            session_events,
+            sequence: TAKE_OVER_SEQUENCE,
+            storing: None,
+            stored,
+            // The first records show the others who leads.
+            signed_at: TimeMs::default(),
+        }
+    }
+
+    /// Begins to store what has changed, or carries out what needs no record.
+    fn store_next(&mut self) {
+        let batch = self.scheduler.take();
+        let now = self.entry.config.clock.now();
+        let signs = now.since_ms(self.signed_at) >= SIGN_OF_LIFE_MS;
+        if batch.records.is_empty() && !signs {
+            return self.carry_out(batch);
+        }
+        if signs {
+            self.signed_at = now;
+        }
+        let appends = encode(&batch, signs.then(|| self.leading.record(false)));
+        let first = self.sequence + 1;
+        self.sequence += appends.len() as u64;
+        let (entry, leading, stored) = (self.entry.clone(), self.leading.clone(), self.stored.clone());
+        spawn_local(async move {
+            let outcome = store(&entry, &leading, first, &appends).await;
+            if stored.send(outcome).is_err() {
+                log::debug!("the leader stopped while records were being stored");
+            }
+        });
+        self.storing = Some(batch);
+    }
+
+    /// Tells the other entries that one of them should lead.
+    async fn resign(&self) {
+        let leading = &self.leading;
+        log::info!("leadership given up: entry={} epoch={}", leading.name, leading.epoch.get());
+        let appends = encode(&Batch::default(), Some(leading.record(true)));
+        let resigning = store(&self.entry, leading, self.sequence + 1, &appends);
+        if tokio::time::timeout(Duration::from_millis(RESIGN_MS), resigning).await.is_err() {
+            log::warn!("the others could not be told that the leader resigned: entry={}", leading.name);
+        }
+    }
+
     fn news(&mut self, event: LeaderEvent) {
         let now = self.entry.config.clock.moment();
         match event {
