--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,8 +48,6 @@
 * [`jobs`]: jobs of many tasks, decided by one leader over the platform's store.
 * [`placement`], [`interference`], [`estimate`], [`suspect`], [`queue`]: decisions on tasks.
 * [`balance`], [`slots`], [`admission`], [`retry`], [`detect`]: the path of requests.
-* [`balance`], [`slots`], [`admission`], [`retry`], [`detect`]: the path of requests.
-* [`placement`], [`interference`], [`estimate`], [`suspect`], [`queue`]: decisions on tasks.
 * [`profile`]: what operators publish.
 * [`burn`] and [`explain`]: what operators see.
 */
