Learn which images disturb each other, and pace and place by it

All of a host were slowed alike as soon as one serving task was near its target, and placement took the slowest host's pace for a want of room.

Change: jobs name images. The leader learns each pair from the changes that agents report (the filter of `interference`, with a new entry for changes), tells agents about the pairs on their hosts, and sends background tasks where they run at half of their speed or more. An agent slows the images that disturb most for the processors that they use, and only as far as the headroom of the serving tasks is exceeded. Two rules do without what was learned: three decisions above a target stop everything, and what does not help is not kept up. A new leader goes on from what the agents remember.

--- a/crates/core/src/interference.rs
+++ b/crates/core/src/interference.rs
@@ -11,7 +11,11 @@
 other pairs unknown too: its load may have shifted, and what was learned of absent classes dates from before.
 */
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    borrow::Borrow,
+    collections::{HashMap, VecDeque},
+    hash::Hash,
+};
 
 use slotmap::SecondaryMap;
 
@@ -22,39 +26,53 @@
 /// Changes remembered per worker. At one change a second this covers the oldest report.
 const MAX_HISTORY: usize = 64;
 
-/// A profile as a class of work: a small number instead of a name.
+/// A class of work: a small number instead of the name of a profile or of an image.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClassId(pub u16);
 
-/// The numbers of the classes.
-#[derive(Debug, Clone, Default)]
-pub struct Classes {
-    names: Vec<ProfileName>,
-    by_name: HashMap<ProfileName, ClassId>,
+/// The numbers of the classes, by their names.
+#[derive(Debug, Clone)]
+pub struct Classes<N = ProfileName> {
+    names: Vec<N>,
+    by_name: HashMap<N, ClassId>,
+}
+
+impl<N> Default for Classes<N> {
+    fn default() -> Self {
+        Self { names: Vec::new(), by_name: HashMap::new() }
+    }
 }
 
-impl Classes {
+impl<N: Clone + Eq + Hash> Classes<N> {
     /// Knows no class yet.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// The number of a profile; a new one if it was not seen before.
-    pub fn intern(&mut self, profile: &ProfileName) -> ClassId {
-        if let Some(class) = self.by_name.get(profile) {
+    /// The number of a class; a new one if it was not seen before.
+    pub fn intern(&mut self, name: &N) -> ClassId {
+        if let Some(class) = self.by_name.get(name) {
             return *class;
         }
         let index = self.names.len().min(MAX_CLASSES - 1);
         let class = ClassId(u16::try_from(index).unwrap_or(u16::MAX));
         if self.names.len() < MAX_CLASSES {
-            self.names.push(profile.clone());
+            self.names.push(name.clone());
         }
-        self.by_name.insert(profile.clone(), class);
+        self.by_name.insert(name.clone(), class);
         class
     }
 
-    /// The profile behind a number.
-    pub fn name(&self, class: ClassId) -> Option<&ProfileName> {
+    /// The number of a class that was seen before.
+    pub fn find<Q: Hash + Eq + ?Sized>(&self, name: &Q) -> Option<ClassId>
+    where
+        N: Borrow<Q>,
+    {
+        self.by_name.get(name).copied()
+    }
+
+    /// The name behind a number.
+    pub fn name(&self, class: ClassId) -> Option<&N> {
         self.names.get(usize::from(class.0))
     }
 }
@@ -191,6 +209,12 @@
         self.update(victim, &weights, slowdown, end)
     }
 
+    /// Learns from a change instead of a level: while the weights of classes beside `victim` changed by `changes`, which may
+    /// be negative, its slowdown changed by `growth`. Linear in the changes.
+    pub fn observe_change(&mut self, victim: ClassId, changes: &[(ClassId, f32)], growth: f32, at: TimeMs) {
+        self.learn(victim, changes, growth, 0.0, self.settings.noise, at);
+    }
+
     /// What is expected of a pair at `now`. Constant time.
     pub fn effect(&self, victim: ClassId, aggressor: ClassId, now: TimeMs) -> Effect {
         match self.pairs.get(self.index(victim, aggressor).unwrap_or(usize::MAX)) {
@@ -213,19 +237,33 @@
     }
 
     fn update(&mut self, victim: ClassId, weights: &[(ClassId, f32)], slowdown: f32, at: TimeMs) -> Option<f32> {
+        // Noise grows with the slowdown itself, since reports are ratios of noisy times.
+        let surprise = self.learn(victim, weights, slowdown, 1.0, self.settings.noise * slowdown.max(1.0), at)?;
+        if surprise > self.settings.surprise {
+            self.doubt_absent(victim, weights, at);
+        }
+        Some(surprise)
+    }
+
+    /// One step of the filter: `observed` is `undisturbed` plus the effects of `weights` plus noise. Returns the surprise in
+    /// standard deviations.
+    fn learn(
+        &mut self,
+        victim: ClassId,
+        weights: &[(ClassId, f32)],
+        observed: f32,
+        undisturbed: f32,
+        noise: f32,
+        at: TimeMs,
+    ) -> Option<f32> {
         let largest = weights.iter().map(|(class, _)| class.0).max().unwrap_or(0).max(victim.0);
         self.grow(usize::from(largest) + 1);
         let effects: Vec<_> = weights.iter().map(|(class, w)| (*class, *w, self.effect(victim, *class, at))).collect();
-        let expected: f32 = 1.0 + effects.iter().map(|(_, w, e)| w * e.mean).sum::<f32>();
+        let expected: f32 = undisturbed + effects.iter().map(|(_, w, e)| w * e.mean).sum::<f32>();
         let spread: f32 = effects.iter().map(|(_, w, e)| (w * e.deviation).powi(2)).sum();
-        // Noise grows with the slowdown itself, since reports are ratios of noisy times.
-        let noise = self.settings.noise * slowdown.max(1.0);
-        let error = slowdown - expected;
+        let error = observed - expected;
         let deviation = (spread + noise * noise).sqrt();
         let surprise = error / deviation;
-        if surprise > self.settings.surprise {
-            self.doubt_absent(victim, weights, at);
-        }
         let boost = if surprise.abs() > self.settings.surprise { 16.0 } else { 1.0 };
         let prior_variance = self.settings.prior.deviation.powi(2);
         let boosted = |e: &Effect| (e.deviation.powi(2) * boost).min(prior_variance.max(e.deviation.powi(2)));
--- a/crates/core/src/jobs/hosts.rs
+++ b/crates/core/src/jobs/hosts.rs
@@ -2,7 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::spec::{StepSpec, TaskRef};
+use super::{
+    disturbance::{Disturbances, PairTable},
+    pace::Headroom,
+    spec::{StepSpec, TaskRef},
+};
 use crate::units::{Resources, TimeMs};
 
 /// The name of a host: that of the agent on it.
@@ -19,6 +23,8 @@
 const REFUSAL_MS: u64 = 1_000;
 /// For how long a host that fails runs is avoided before it is tried again, in milliseconds.
 const SUSPICION_MS: u64 = 4_000;
+/// What a background task may add to the logarithm of a tail latency without being counted, in thousandths.
+const NEGLIGIBLE_MILLI: u64 = 10;
 
 plain! {
     /// What an endpoint says of itself.
@@ -44,6 +50,7 @@
     pub resources: Resources,
     pub background: bool,
     pub serves: bool,
+    pub image: Option<String>,
 }
 
 /// How a host is connected to the leader.
@@ -68,10 +75,14 @@
     pub tasks: BTreeMap<TaskRef, Placed>,
     used: Resources,
     background_cpu_milli: u32,
+    /// The processors that background tasks asked for, by image, in thousandths of a core.
+    background_images: BTreeMap<String, u32>,
     serving: u32,
     serving_cpu_milli: u32,
-    /// The share of their speed at which background tasks run here, in percent.
-    pub paced_percent: u8,
+    /// What background tasks may add to the latencies of serving tasks.
+    pub headroom: Headroom,
+    /// What the agent was told of pairs of images.
+    pub told: PairTable,
     /// The latest ends, one bit each; 1 is a failure.
     ends: u32,
     avoid_until: TimeMs,
@@ -87,9 +98,11 @@
             tasks: BTreeMap::new(),
             used: Resources::ZERO,
             background_cpu_milli: 0,
+            background_images: BTreeMap::new(),
             serving: 0,
             serving_cpu_milli: 0,
-            paced_percent: 100,
+            headroom: Headroom::new(),
+            told: PairTable::new(),
             ends: 0,
             avoid_until: TimeMs::default(),
         }
@@ -100,6 +113,9 @@
         let mut resources = step.resources;
         if step.background {
             self.background_cpu_milli += resources.cpu_milli;
+            if let Some(image) = &step.image {
+                *self.background_images.entry(image.clone()).or_default() += resources.cpu_milli;
+            }
             resources.cpu_milli = 0;
         }
         let serves = step.tail_target_ms.is_some();
@@ -108,7 +124,8 @@
             self.serving_cpu_milli += step.resources.cpu_milli;
         }
         self.used = self.used.plus(&resources);
-        let placed = Placed { run, resources: step.resources, background: step.background, serves };
+        let placed =
+            Placed { run, resources: step.resources, background: step.background, serves, image: step.image.clone() };
         if let Some(earlier) = self.tasks.insert(task, placed) {
             self.release(&earlier);
         }
@@ -125,6 +142,14 @@
         let mut resources = placed.resources;
         if placed.background {
             self.background_cpu_milli -= resources.cpu_milli;
+            if let Some(image) = &placed.image
+                && let Some(cpu_milli) = self.background_images.get_mut(image)
+            {
+                *cpu_milli -= resources.cpu_milli;
+                if *cpu_milli == 0 {
+                    self.background_images.remove(image);
+                }
+            }
             resources.cpu_milli = 0;
         }
         if placed.serves {
@@ -157,7 +182,8 @@
         self.tasks.range(first..=last).count()
     }
 
-    /// Whether a task of `step` can be started here.
+    /// Whether a task of `step` can be started here. The processors of background tasks are not looked at; see
+    /// [`Self::background_speed_percent`].
     pub fn can_take(&self, task: &TaskRef, step: &StepSpec, service: &str, zones_out: &BTreeSet<String>) -> bool {
         let Some(info) = &self.info else { return false };
         if self.link != Link::Connected || !self.reconciled || info.draining || info.service != service {
@@ -172,19 +198,47 @@
         if step.per_host.is_some_and(|most| self.tasks_of(task) >= most as usize) {
             return false;
         }
-        let mut free = info.capacity.minus(&self.used);
+        let mut needed = step.resources;
         if step.background {
-            free.cpu_milli = self.background_room(info.capacity.cpu_milli);
+            needed.cpu_milli = 0;
         }
-        step.resources.fits_in(&free)
+        needed.fits_in(&info.capacity.minus(&self.used))
     }
 
-    /// Processors for more background tasks, in thousandths of a core: what the other tasks probably leave, as far as the
-    /// host lets background tasks use it.
+    /// Processors for more background tasks, in thousandths of a core: what the other tasks probably leave.
     fn background_room(&self, total_milli: u32) -> u32 {
         let unused = self.serving_cpu_milli * SERVING_UNUSED_PERCENT / 100;
         let left = total_milli.saturating_sub(self.used.cpu_milli) + unused;
-        (left * u32::from(self.paced_percent) / 100).saturating_sub(self.background_cpu_milli)
+        left.saturating_sub(self.background_cpu_milli)
+    }
+
+    /// The speed at which one more background task of `step` would probably run here, in percent: as far as there are
+    /// processors, and as far as the serving tasks beside it bear it. Linear in the pairs of images on the host.
+    pub fn background_speed_percent(&self, step: &StepSpec, disturbances: &Disturbances, now: TimeMs) -> u32 {
+        let Some(info) = &self.info else { return 0 };
+        let total = u64::from(info.capacity.cpu_milli.max(1));
+        let wanted = u64::from(step.resources.cpu_milli.max(1));
+        let mut speed = (u64::from(self.background_room(info.capacity.cpu_milli)) * 100 / wanted).min(100);
+        let Some(image) = &step.image else { return speed as u32 };
+        for (serving, headroom_milli) in &self.headroom {
+            let growth = |image: &str, cpu_milli: u64| {
+                u64::from(disturbances.growth_milli(image, serving, now)) * cpu_milli / total
+            };
+            let added_milli = growth(image, wanted);
+            if added_milli < NEGLIGIBLE_MILLI {
+                continue;
+            }
+            let present: u64 =
+                self.background_images.iter().map(|(image, cpu_milli)| growth(image, u64::from(*cpu_milli))).sum();
+            let left_milli = (i64::from(*headroom_milli) - present as i64).max(0) as u64;
+            speed = speed.min(left_milli * 100 / added_milli);
+        }
+        speed as u32
+    }
+
+    /// The images of background tasks and of serving tasks on the host.
+    pub fn images(&self) -> (impl Iterator<Item = &String> + Clone, impl Iterator<Item = &String>) {
+        (self.background_images.keys(), self.headroom.keys())
     }
 
     /// What is committed to tasks with processors of their own.
@@ -203,12 +257,13 @@
     ///
     /// Background tasks disturb tasks that serve users, and are paced down beside them. Serving tasks are therefore packed
     /// onto few hosts, which leaves the others to background tasks; all other tasks go rather to the hosts that serve.
-    pub fn score(&self, step: &StepSpec, now: TimeMs) -> i64 {
+    pub fn score(&self, step: &StepSpec, disturbances: &Disturbances, now: TimeMs) -> i64 {
         let Some(info) = &self.info else { return i64::MIN };
         let total = i64::from(info.capacity.cpu_milli.max(1));
         let serves = step.tail_target_ms.is_some();
         let mut score = if step.background {
-            i64::from(self.background_room(info.capacity.cpu_milli)) * 1_000 / total
+            let speed = i64::from(self.background_speed_percent(step, disturbances, now)) * 10;
+            speed + i64::from(self.background_room(info.capacity.cpu_milli)) * 1_000 / total
         } else {
             let demand = i64::from(self.used.cpu_milli) + i64::from(self.background_cpu_milli);
             1_000 - (demand + i64::from(step.resources.cpu_milli)) * 1_000 / total
--- a/crates/core/src/jobs/pace.rs
+++ b/crates/core/src/jobs/pace.rs
@@ -1,81 +1,345 @@
 /*!
 How far background tasks are slowed for the sake of the tasks that serve beside them.
 
-A tail latency that stays above the target while background tasks stand still is not their doing. They then run for a
-while, as pausing them helps nobody, and the share is found anew.
+What background tasks add to a tail latency is estimated from what they use and from the table of pairs that the leader has
+learned (see [`disturbance`](super::disturbance)); the rest is the serving task's own. What is left between its own latency and the goal
+is its headroom. Each background image runs at full speed unless a headroom is exceeded; then the images that disturb most
+for the processors they use are slowed first, as that costs the least work.
 
-The share halves with each reading above the target and grows by a fixed step with readings well below it: additive
-increase, multiplicative decrease. Two thresholds keep it from swinging.
+The table can be wrong, so two rules do without it. A latency that stays above its target stops all background tasks. A
+latency that stays above it while they stand still is not their doing; they then run for a while, as pausing them helps
+nobody.
 */
 
+use std::collections::BTreeMap;
+
+use super::{
+    disturbance::{Change, Pair, PairTable, growth_milli},
+    spec::TaskRef,
+};
 use crate::units::TimeMs;
 
-/// Below this share of its target a tail latency lets background tasks speed up, in percent.
-const RELAXED_PERCENT: u32 = 60;
-/// Above this share of its target a tail latency slows background tasks, in percent.
-const STRAINED_PERCENT: u32 = 90;
-/// By how much the share grows with one reading, in percent points.
-const STEP_PERCENT: u8 = 10;
+/// The share of its target that a tail latency should stay below, in percent. Readings are rough, and a task above its target
+/// because of background tasks counts four times.
+const GOAL_PERCENT: f32 = 75.0;
+/// The time between two decisions in milliseconds; readings cover half a second.
+const SPACING_MS: u64 = 500;
+/// How much of a change of a serving task's own latency is believed at once, if it is worse and if it is better, in percent.
+const WORSE_BELIEVED_PERCENT: f32 = 60.0;
+const BETTER_BELIEVED_PERCENT: f32 = 30.0;
 /// Shares below this become 0, in percent.
 const LEAST_PERCENT: u8 = 10;
-/// The time between two changes in milliseconds; readings cover half a second.
-const SPACING_MS: u64 = 500;
-
+/// Smaller changes of a share are not worth a call, in percent points.
+const STEP_PERCENT: u8 = 10;
+/// An image that adds less than this to the logarithm of a tail latency is not slowed for it, in thousandths.
+const NEGLIGIBLE_MILLI: f32 = 30.0;
+/// Smaller changes of the processors in use teach nothing, in thousandths of the host.
+const LEAST_CHANGE_MILLI: i32 = 15;
+/// Smaller changes of a headroom are not reported, in thousandths of the logarithm.
+const REPORTED_CHANGE_MILLI: i32 = 50;
+/// Below this share an image's full use is not worked out from what it uses, in percent.
+const EXTRAPOLATED_PERCENT: u8 = 25;
+/// After this many decisions in a row above its target, a serving task stops all background tasks beside it. Together with
+/// the standstill and the free run that follow it is less than the time for which the platform lets it suffer, 4 s.
+const LOST_PATIENCE: u32 = 3;
 /// How long background tasks stand still until a latency above the target is not put down to them, in milliseconds: two
 /// readings.
 const STANDSTILL_MS: u64 = 1_000;
-/// How long they then run freely, in milliseconds. Together with the halving it is less than the time for which the
-/// platform lets a serving task suffer, 4 s.
+/// How long they then run freely, in milliseconds.
 const FREE_MS: u64 = 1_500;
 
-/// The share of background tasks on one host.
+/// By how much the logarithm of the tail latency of each serving image may grow by background tasks until it reaches the
+/// goal, in thousandths.
+pub type Headroom = BTreeMap<String, i32>;
+
+/// The latest reading of a serving task.
 #[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServingReading {
+    /// The task.
+    pub task: TaskRef,
+    /// Its image.
+    pub image: String,
+    /// Its tail latency in milliseconds.
+    pub tail_ms: u32,
+    /// The bound on that in milliseconds.
+    pub target_ms: u32,
+}
+
+/// The latest reading of a background task.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackgroundReading {
+    /// Its image.
+    pub image: String,
+    /// The processors it uses, in thousandths of a core.
+    pub used_cpu_milli: u32,
+    /// The processors it asked for, in thousandths of a core.
+    pub wanted_cpu_milli: u32,
+}
+
+/// What the leader is to be told.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Findings {
+    /// What changed together since the reading before.
+    pub changes: Vec<Change>,
+    /// The headrooms, if they have changed.
+    pub headroom: Option<Headroom>,
+}
+
+/// The processors of a background image on this host, as shares of the host.
+#[derive(Debug, Clone, Copy, Default)]
+struct Shares {
+    used: f32,
+    wanted: f32,
+}
+
+/// Whether a serving task suffers, and what was tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Strain {
+    /// So many decisions in a row were above a target.
+    Counting(u32),
+    /// All background tasks stand still since then.
+    Standstill { since: TimeMs },
+    /// Background tasks are not the cause; they run freely until then.
+    Free { until: TimeMs },
+}
+
+/// The shares of background images on one host.
+#[derive(Debug, Clone)]
 pub struct Pacer {
-    percent: u8,
-    next_change: TimeMs,
-    stopped_at: TimeMs,
+    table: PairTable,
+    percents: BTreeMap<String, u8>,
+    /// The logarithm of the latency of each serving image over its target, less what background tasks add.
+    own: BTreeMap<String, f32>,
+    strain: Strain,
+    next: TimeMs,
+    last_tails: BTreeMap<TaskRef, u32>,
+    last_used: BTreeMap<String, f32>,
+    reported: Headroom,
 }
 
 impl Pacer {
-    /// Background tasks run at full speed.
+    /// Background tasks run at full speed, and nothing is known of images.
     pub fn new() -> Self {
-        Self { percent: 100, next_change: TimeMs::default(), stopped_at: TimeMs::default() }
+        Self {
+            table: PairTable::new(),
+            percents: BTreeMap::new(),
+            own: BTreeMap::new(),
+            strain: Strain::Counting(0),
+            next: TimeMs::default(),
+            last_tails: BTreeMap::new(),
+            last_used: BTreeMap::new(),
+            reported: Headroom::new(),
+        }
+    }
+
+    /// The endpoint started anew: nothing runs there. What was learned stays.
+    pub fn restarted(&mut self) {
+        *self = Self { table: std::mem::take(&mut self.table), ..Self::new() };
+    }
+
+    /// The share at which tasks of an image should run, in percent.
+    pub fn percent(&self, image: &str) -> u8 {
+        self.percents.get(image).copied().unwrap_or(100)
+    }
+
+    /// The least of the shares, in percent.
+    pub fn least_percent(&self) -> u8 {
+        self.percents.values().copied().min().unwrap_or(100)
+    }
+
+    /// What was learned of pairs, as far as it was told.
+    pub fn table(&self) -> &PairTable {
+        &self.table
+    }
+
+    /// The latest headrooms.
+    pub fn headroom(&self) -> &Headroom {
+        &self.reported
     }
 
-    /// The share at which background tasks should run, in percent.
-    pub fn percent(&self) -> u8 {
-        self.percent
+    /// The leader has learned of pairs.
+    pub fn learned(&mut self, table: PairTable) {
+        self.table.extend(table);
     }
 
-    /// Takes a reading of each serving task: its tail latency and its target, both in milliseconds.
-    pub fn observe(&mut self, tails: impl IntoIterator<Item = (u32, u32)>, now: TimeMs) {
-        let worst = tails.into_iter().map(|(tail, target)| tail.saturating_mul(100) / target.max(1)).max();
-        let Some(worst) = worst else {
-            self.percent = 100;
-            return;
+    /// Takes the readings of all tasks on a host with so many processors. Linear in the tasks, and in the pairs of their
+    /// images.
+    pub fn observe(
+        &mut self,
+        host_cpu_milli: u32,
+        serving: &[ServingReading],
+        background: &[BackgroundReading],
+        now: TimeMs,
+    ) -> Findings {
+        if now < self.next || host_cpu_milli == 0 {
+            return Findings::default();
+        }
+        self.next = now.plus_ms(SPACING_MS);
+        let shares = self.shares(host_cpu_milli, background);
+        let changes = self.changes(serving, &shares);
+        let worst = self.update_own(serving, &shares);
+        self.strain = self.next_strain(worst, now);
+        self.percents = match self.strain {
+            Strain::Counting(_) => self.plan(&shares),
+            Strain::Standstill { .. } => shares.keys().map(|image| (image.clone(), 0)).collect(),
+            Strain::Free { .. } => BTreeMap::new(),
         };
-        if now < self.next_change {
-            return;
+        Findings { changes, headroom: self.changed_headroom() }
+    }
+
+    fn shares(&self, host_cpu_milli: u32, background: &[BackgroundReading]) -> BTreeMap<String, Shares> {
+        let mut shares = BTreeMap::<_, Shares>::new();
+        for reading in background {
+            let percent = self.percent(&reading.image);
+            let wanted_milli = if percent >= EXTRAPOLATED_PERCENT && reading.used_cpu_milli > 0 {
+                // What is asked for is far off; a task uses up to twice of it.
+                (reading.used_cpu_milli * 100 / u32::from(percent)).min(reading.wanted_cpu_milli * 2)
+            } else {
+                reading.wanted_cpu_milli
+            };
+            let share = shares.entry(reading.image.clone()).or_default();
+            share.used += reading.used_cpu_milli as f32 / host_cpu_milli as f32;
+            share.wanted += wanted_milli as f32 / host_cpu_milli as f32;
         }
-        if self.percent == 0 && worst > STRAINED_PERCENT && now.since_ms(self.stopped_at) >= STANDSTILL_MS {
-            self.percent = 100;
-            self.next_change = now.plus_ms(FREE_MS);
-            return;
+        shares
+    }
+
+    /// Compares the readings with those before.
+    fn changes(&mut self, serving: &[ServingReading], shares: &BTreeMap<String, Shares>) -> Vec<Change> {
+        let used: BTreeMap<_, _> = shares.iter().map(|(image, share)| (image.clone(), share.used)).collect();
+        let tails: BTreeMap<_, _> = serving.iter().map(|reading| (reading.task, reading.tail_ms)).collect();
+        let last_used = std::mem::replace(&mut self.last_used, used);
+        let last_tails = std::mem::replace(&mut self.last_tails, tails);
+        let images = last_used.keys().chain(self.last_used.keys().filter(|image| !last_used.contains_key(*image)));
+        let shares_milli: Vec<_> = images
+            .map(|image| {
+                let share = |used: &BTreeMap<String, f32>| used.get(image).copied().unwrap_or_default();
+                (image.clone(), ((share(&self.last_used) - share(&last_used)) * 1_000.0) as i32)
+            })
+            .filter(|(_, change_milli)| change_milli.abs() >= LEAST_CHANGE_MILLI)
+            .collect();
+        if shares_milli.is_empty() {
+            return Vec::new();
         }
-        let percent = match worst {
-            worst if worst > STRAINED_PERCENT => self.percent / 2,
-            worst if worst < RELAXED_PERCENT => self.percent.saturating_add(STEP_PERCENT).min(100),
-            _ => self.percent,
-        };
-        let percent = if percent < LEAST_PERCENT { 0 } else { percent };
-        if percent != self.percent {
-            if percent == 0 {
-                self.stopped_at = now;
+        let mut growths = BTreeMap::<&str, (f32, f32)>::new();
+        for reading in serving {
+            let Some(&last_ms) = last_tails.get(&reading.task) else { continue };
+            if last_ms > 0 && reading.tail_ms > 0 {
+                let (sum, count) = growths.entry(&reading.image).or_default();
+                *sum += (reading.tail_ms as f32 / last_ms as f32).ln();
+                *count += 1.0;
+            }
+        }
+        growths
+            .into_iter()
+            .map(|(image, (sum, count))| Change {
+                serving: image.to_owned(),
+                growth_milli: (sum / count * 1_000.0) as i32,
+                shares_milli: shares_milli.clone(),
+            })
+            .collect()
+    }
+
+    /// Follows the serving images' own latencies. Returns the logarithm of the worst latency over its target.
+    fn update_own(&mut self, serving: &[ServingReading], shares: &BTreeMap<String, Shares>) -> f32 {
+        let mut levels = BTreeMap::<&str, f32>::new();
+        for reading in serving.iter().filter(|reading| reading.tail_ms > 0) {
+            let level = (reading.tail_ms as f32 / reading.target_ms.max(1) as f32).ln();
+            let worst = levels.entry(&reading.image).or_insert(level);
+            *worst = worst.max(level);
+        }
+        self.own.retain(|image, _| levels.contains_key(image.as_str()));
+        let mut worst = f32::NEG_INFINITY;
+        for (image, level) in levels {
+            worst = worst.max(level);
+            let added: f32 = shares.iter().map(|(by, share)| self.growth(by, image) * share.used).sum();
+            let own = self.own.entry(image.to_owned()).or_insert(level - added);
+            let change = level - added - *own;
+            let believed = if change > 0.0 { WORSE_BELIEVED_PERCENT } else { BETTER_BELIEVED_PERCENT };
+            *own += change * believed / 100.0;
+        }
+        worst
+    }
+
+    fn next_strain(&self, worst: f32, now: TimeMs) -> Strain {
+        let above = worst > 0.0;
+        match self.strain {
+            Strain::Free { until } if now < until => self.strain,
+            Strain::Standstill { since } if above => {
+                if now.since_ms(since) >= STANDSTILL_MS {
+                    Strain::Free { until: now.plus_ms(FREE_MS) }
+                } else {
+                    self.strain
+                }
             }
-            self.percent = percent;
-            self.next_change = now.plus_ms(SPACING_MS);
+            Strain::Counting(count) if above && count + 1 >= LOST_PATIENCE => Strain::Standstill { since: now },
+            Strain::Counting(count) if above => Strain::Counting(count + 1),
+            Strain::Free { .. } if above => Strain::Counting(1),
+            _ => Strain::Counting(0),
         }
     }
+
+    /// The largest shares that keep each serving image within its headroom.
+    fn plan(&self, shares: &BTreeMap<String, Shares>) -> BTreeMap<String, u8> {
+        let mut percents: BTreeMap<&str, f32> = shares.keys().map(|image| (image.as_str(), 100.0)).collect();
+        for (serving, own) in &self.own {
+            let headroom = (headroom(*own)).max(0.0);
+            let mut by: Vec<_> = shares
+                .iter()
+                .map(|(image, share)| (image.as_str(), self.growth(image, serving), share.wanted))
+                .filter(|(_, growth, wanted)| growth * wanted * 1_000.0 >= NEGLIGIBLE_MILLI)
+                .collect();
+            by.sort_by(|a, b| b.1.total_cmp(&a.1));
+            let mut excess =
+                by.iter().map(|(image, growth, wanted)| growth * wanted * percents[image] / 100.0).sum::<f32>()
+                    - headroom;
+            for (image, growth, wanted) in by {
+                if excess <= 0.0 {
+                    break;
+                }
+                let Some(percent) = percents.get_mut(image) else { continue };
+                let cut = (excess / (growth * wanted) * 100.0).min(*percent);
+                *percent -= cut;
+                excess -= growth * wanted * cut / 100.0;
+            }
+        }
+        percents.into_iter().map(|(image, percent)| (image.to_owned(), self.settle(image, percent))).collect()
+    }
+
+    /// Keeps the share of an image if it would hardly change.
+    fn settle(&self, image: &str, percent: f32) -> u8 {
+        let now = self.percent(image);
+        match percent as u8 {
+            percent if percent < LEAST_PERCENT => 0,
+            percent if percent >= 100 => 100,
+            percent if percent.abs_diff(now) < STEP_PERCENT && now > 0 => now,
+            percent => percent,
+        }
+    }
+
+    fn growth(&self, background: &str, serving: &str) -> f32 {
+        let pair = Pair { background: background.to_owned(), serving: serving.to_owned() };
+        growth_milli(&self.table, &pair) as f32 / 1_000.0
+    }
+
+    fn changed_headroom(&mut self) -> Option<Headroom> {
+        let headroom: Headroom =
+            self.own.iter().map(|(image, own)| (image.clone(), (headroom(*own) * 1_000.0) as i32)).collect();
+        let alike = headroom.len() == self.reported.len()
+            && headroom.iter().all(|(image, milli)| {
+                self.reported.get(image).is_some_and(|before| before.abs_diff(*milli) < REPORTED_CHANGE_MILLI as u32)
+            });
+        if alike {
+            return None;
+        }
+        self.reported = headroom.clone();
+        Some(headroom)
+    }
+}
+
+/// What may be added to the logarithm of a latency that is `own` over its target.
+fn headroom(own: f32) -> f32 {
+    (GOAL_PERCENT / 100.0).ln() - own
 }
 
 impl Default for Pacer {
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -13,8 +13,10 @@
 };
 
 use super::{
+    disturbance::{Change, Disturbances, PairTable},
     hosts::{Host, HostInfo, HostName, Link},
     lease::LeasePlan,
+    pace::Headroom,
     progress::{JobProgress, Phase, TaskState},
     replica::Replica,
     spec::{JobId, JobSpec, QueueSettings, TaskRef},
@@ -23,6 +25,12 @@
 
 mod placing;
 
+/// How often hosts are told what was learned of images, in milliseconds: as often as they decide on paces.
+const TELL_MS: u64 = 500;
+/// Hosts are told of a pair again if it changed by more than this, in thousandths, and by more than a tenth.
+const TOLD_STEP_MILLI: u32 = 100;
+const TOLD_STEP_PART: u32 = 10;
+
 plain! {
     /// A time, on both clocks.
     #[derive(Copy, Default)]
@@ -169,6 +177,8 @@
     effects: Vec<Effect>,
     place_again: bool,
     place_at: TimeMs,
+    disturbances: Disturbances,
+    tell_at: TimeMs,
 }
 
 impl Scheduler {
@@ -192,6 +202,8 @@
             effects: Vec::new(),
             place_again: true,
             place_at: now.at,
+            disturbances: Disturbances::new(),
+            tell_at: now.at,
         };
         let silent = Link::Silent { lost_at: plan.lost_after_takeover(now.at) };
         for host in known_hosts {
@@ -261,14 +273,47 @@
         }
     }
 
-    /// A host runs its background tasks at this share of their speed, in percent.
-    pub fn host_paced(&mut self, name: &HostName, percent: u8) {
+    /// What background tasks may add on a host to the latencies of the tasks that serve there.
+    pub fn host_headroom(&mut self, name: &HostName, headroom: Headroom) {
         if let Some(host) = self.hosts.get_mut(name) {
-            host.paced_percent = percent;
+            host.headroom = headroom;
             self.place_again = true;
         }
     }
 
+    /// Learns from what changed on a host.
+    pub fn disturbed(&mut self, changes: &[Change], now: Moment) {
+        changes.iter().for_each(|change| self.disturbances.observe(change, now.at));
+    }
+
+    /// Takes over what a host remembers of pairs of images from the time of an earlier leader.
+    pub fn recall(&mut self, table: &PairTable, now: Moment) {
+        self.disturbances.recall(table, now.at);
+    }
+
+    /// What the hosts should be told of the pairs of images that they run. Only pairs of which more is known than before.
+    pub fn pairs_to_tell(&mut self, now: Moment) -> Vec<(HostName, PairTable)> {
+        if now.at < self.tell_at {
+            return Vec::new();
+        }
+        self.tell_at = now.at.plus_ms(TELL_MS);
+        let Self { hosts, disturbances, .. } = self;
+        let mut news = Vec::new();
+        for (name, host) in hosts.iter_mut().filter(|(_, host)| host.link == Link::Connected) {
+            let (background, serving) = host.images();
+            let mut table = disturbances.table(background, serving, now.at);
+            table.retain(|pair, growth_milli| {
+                let step_milli = TOLD_STEP_MILLI.max(*growth_milli / TOLD_STEP_PART);
+                host.told.get(pair).is_none_or(|told| told.abs_diff(*growth_milli) > step_milli)
+            });
+            if !table.is_empty() {
+                host.told.extend(table.clone());
+                news.push((name.clone(), table));
+            }
+        }
+        news
+    }
+
     /// A host is known to exist.
     pub fn host_known(&mut self, host: &HostName) {
         self.hosts.entry(host.clone()).or_insert_with(|| Host::new(Link::Lost));
@@ -279,6 +324,7 @@
         let host = self.hosts.entry(name.clone()).or_insert_with(|| Host::new(Link::Lost));
         host.link = Link::Connected;
         host.reconciled = false;
+        host.told.clear();
     }
 
     /// The session with a host ended. `answered` is when the leader last answered the host, if it ever did.
--- a/crates/core/src/jobs/scheduler/placing.rs
+++ b/crates/core/src/jobs/scheduler/placing.rs
@@ -18,6 +18,9 @@
 /// milliseconds. Slow progress shows its clients more than none.
 const IDLE_MS: u64 = 1_000;
 
+/// A background task waits for a host that lets it run at this speed at least, in percent.
+const LEAST_SPEED_PERCENT: u32 = 50;
+
 impl Scheduler {
     /// Places waiting tasks, the most urgent first. A step that does not fit does not hold up the ones behind it.
     pub(super) fn place(&mut self, now: Moment) {
@@ -53,12 +56,9 @@
             let mostly_free = step.background && self.is_mostly_free(&service);
             let mut first = true;
             for (task, run) in &waiting {
-                let mut host = self.best_host(task, step, &service, None, now);
+                let mut host = self.best_host(task, step, &service, None, LEAST_SPEED_PERCENT, now);
                 if host.is_none() && step.background && (mostly_free || (idle && first)) {
-                    // Only memory and accelerators bind a task without processors of its own.
-                    let mut least = step.clone();
-                    least.resources.cpu_milli = 0;
-                    host = self.best_host(task, &least, &service, None, now);
+                    host = self.best_host(task, step, &service, None, 0, now);
                     if !idle || !first {
                         host = host.filter(|host| self.hosts[host].has_uncommitted(step));
                     }
@@ -116,7 +116,9 @@
         for rack in racks {
             let mut chosen = Vec::new();
             for (task, _) in waiting {
-                let Some(host) = self.best_host(task, step, service, rack.as_deref(), now) else { break };
+                let Some(host) = self.best_host(task, step, service, rack.as_deref(), LEAST_SPEED_PERCENT, now) else {
+                    break;
+                };
                 if let Some(host) = self.hosts.get_mut(&host) {
                     host.add(*task, run, step);
                 }
@@ -143,18 +145,22 @@
         step: &StepSpec,
         service: &str,
         label: Option<&str>,
+        least_speed_percent: u32,
         now: TimeMs,
     ) -> Option<HostName> {
         let failed_on = self.jobs.get(&task.job).and_then(|job| job.failed_on.get(task));
         self.hosts
             .iter()
             .filter(|(_, host)| host.can_take(task, step, service, &self.zones_out))
+            .filter(|(_, host)| {
+                !step.background || host.background_speed_percent(step, &self.disturbances, now) >= least_speed_percent
+            })
             .filter(|(_, host)| {
                 label.is_none_or(|label| host.info.as_ref().is_some_and(|info| info.labels.contains(label)))
             })
             .max_by_key(|(name, host)| {
                 let failed_here = failed_on.is_some_and(|hosts| hosts.contains(*name));
-                host.score(step, now) - if failed_here { 5_000 } else { 0 }
+                host.score(step, &self.disturbances, now) - if failed_here { 5_000 } else { 0 }
             })
             .map(|(name, _)| name.clone())
     }
--- a/crates/core/src/jobs/spec.rs
+++ b/crates/core/src/jobs/spec.rs
@@ -128,6 +128,8 @@
         pub tail_target_ms: Option<u32>,
         /// Whether the tasks use only processor time that others leave; their processors do not count as committed.
         pub background: bool,
+        /// What the tasks run. Tasks of one image disturb others, and are disturbed, alike.
+        pub image: Option<String>,
     }
 
     /// A job as it was accepted.
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -12,7 +12,7 @@
     jobs::{
         End, Ended, HostInfo, Rejection, TaskRef,
         lease::{Authority, LeasePlan},
-        pace::Pacer,
+        pace::{BackgroundReading, Pacer, ServingReading},
     },
     units::TimeMs,
 };
@@ -55,8 +55,10 @@
 #[derive(Debug, Clone)]
 struct Order {
     run: u32,
+    cpu_milli: u32,
     background: bool,
     tail_target_ms: Option<u32>,
+    image: Option<String>,
     stopping: bool,
     /// The share that the endpoint was told last, in percent.
     paced: u8,
@@ -212,6 +214,7 @@
             }
             ToAgent::Start(start) => self.order(start),
             ToAgent::Stop { task, run } => self.order_stop(task, run),
+            ToAgent::Pairs(table) => self.state.borrow_mut().pacer.learned(table),
             ToAgent::Forget { incarnation, up_to } => {
                 let mut state = self.state.borrow_mut();
                 if state.incarnation == Some(incarnation) && up_to > state.forget_up_to {
@@ -244,8 +247,10 @@
         }
         let order = Order {
             run: start.run,
+            cpu_milli: start.cpu_milli,
             background: start.background,
             tail_target_ms: start.tail_target_ms,
+            image: start.image.clone(),
             stopping: false,
             paced: 100,
         };
@@ -314,8 +319,10 @@
         let Some(incarnation) = state.incarnation else { return };
         let order = state.orders.entry(task).or_insert(Order {
             run,
+            cpu_milli: 0,
             background: false,
             tail_target_ms: None,
+            image: None,
             stopping: false,
             paced: 100,
         });
@@ -445,23 +452,42 @@
 
     /// Slows background tasks while tasks that serve users are too slow.
     fn pace(self: &Rc<Self>, state: &mut State, now: TimeMs) {
+        let Some(host_cpu_milli) = state.info.as_ref().map(|info| info.capacity.cpu_milli) else { return };
         let State { pacer, orders, running, .. } = state;
-        let tails = orders.iter().filter_map(|(task, order)| Some((running.get(task)?.reading, order.tail_target_ms?)));
-        let before = pacer.percent();
-        pacer.observe(tails, now);
-        let percent = pacer.percent();
-        if percent != before {
-            log::info!("background tasks paced: host={} percent={percent}", self.name);
+        let (mut serving, mut background) = (Vec::new(), Vec::new());
+        for (&task, order) in orders.iter() {
+            let Some(running) = running.get(&task).filter(|running| running.run == order.run) else { continue };
+            let image = order.image.clone().unwrap_or_default();
+            if let Some(target_ms) = order.tail_target_ms {
+                serving.push(ServingReading { task, image, tail_ms: running.reading, target_ms });
+            } else if order.background {
+                let (used_cpu_milli, wanted_cpu_milli) = (running.reading, order.cpu_milli);
+                background.push(BackgroundReading { image, used_cpu_milli, wanted_cpu_milli });
+            }
+        }
+        let before = pacer.least_percent();
+        let findings = pacer.observe(host_cpu_milli, &serving, &background, now);
+        if pacer.least_percent() != before {
+            log::info!(
+                "background tasks paced: host={} least_percent={} headroom_milli={:?}",
+                self.name,
+                pacer.least_percent(),
+                pacer.headroom()
+            );
         }
         for (&task, order) in orders.iter_mut() {
             let there = running.get(&task).is_some_and(|running| running.run == order.run);
+            let percent = pacer.percent(order.image.as_deref().unwrap_or_default());
             if order.background && there && !order.stopping && order.paced != percent {
                 order.paced = percent;
                 spawn_local(self.clone().set_pace(task, order.run, percent));
             }
         }
-        if percent != before {
-            state.tell(ToLeader::Paced { percent });
+        if !findings.changes.is_empty() {
+            state.tell(ToLeader::Changes(findings.changes));
+        }
+        if let Some(headroom) = findings.headroom {
+            state.tell(ToLeader::Headroom(headroom));
         }
     }
 
@@ -522,7 +548,7 @@
         state.clock = None;
         state.gone = false;
         state.report_asked = TimeMs::default();
-        state.pacer = Pacer::new();
+        state.pacer.restarted();
     }
 
     fn raise_token(&self, refused: u64) {
@@ -557,7 +583,8 @@
     /// Says everything that a new leader has to know: ends first, so that no ended run is started again.
     fn introduce(&mut self) {
         self.tell(ToLeader::Info(self.info.clone()));
-        self.tell(ToLeader::Paced { percent: self.pacer.percent() });
+        self.tell(ToLeader::Headroom(self.pacer.headroom().clone()));
+        self.tell(ToLeader::Remembered(self.pacer.table().clone()));
         let Some(incarnation) = self.incarnation.filter(|_| !self.gone && self.report_asked != TimeMs::default())
         else {
             return;
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -117,6 +117,7 @@
             break;
         }
         leader.scheduler.tick(entry.config.clock.moment());
+        leader.tell_pairs();
         if leader.storing.is_none() {
             leader.store_next();
         }
@@ -379,7 +380,9 @@
             ToLeader::Checkpoint { incarnation, task, run, checkpoint } => {
                 self.scheduler.checkpoint(host, incarnation, &task, run, checkpoint);
             }
-            ToLeader::Paced { percent } => self.scheduler.host_paced(host, percent),
+            ToLeader::Headroom(headroom) => self.scheduler.host_headroom(host, headroom),
+            ToLeader::Changes(changes) => self.scheduler.disturbed(&changes, now),
+            ToLeader::Remembered(table) => self.scheduler.recall(&table, now),
             ToLeader::Gone { incarnation } => {
                 log::warn!("host lost its runs: host={host} incarnation={incarnation}");
                 self.scheduler.host_lost(host, now);
@@ -389,6 +392,21 @@
         }
     }
 
+    /// Tells agents what was learned of the images on their hosts.
+    fn tell_pairs(&mut self) {
+        for (host, table) in self.scheduler.pairs_to_tell(self.entry.config.clock.moment()) {
+            log::debug!("pairs told: host={host} pairs={}", table.len());
+            self.order(&host, ToAgent::Pairs(table));
+        }
+    }
+
+    fn order(&self, host: &HostName, order: ToAgent) {
+        let session = self.sessions.get(host);
+        if session.is_none_or(|session| session.orders.send(order).is_err()) {
+            log::warn!("no session for an order: host={host}");
+        }
+    }
+
     /// Carries out what rests on stored records.
     fn carry_out(&mut self, batch: Batch) {
         let Batch { records, effects } = batch;
@@ -411,18 +429,17 @@
                         run,
                         payload: spec.payload.clone(),
                         checkpoint,
+                        cpu_milli: step.resources.cpu_milli,
                         background: step.background,
                         tail_target_ms: step.tail_target_ms,
+                        image: step.image.clone(),
                     };
                     (host, ToAgent::Start(start))
                 }
                 Effect::Stop { host, task, run } => (host, ToAgent::Stop { task, run }),
                 Effect::Forget { host, incarnation, up_to } => (host, ToAgent::Forget { incarnation, up_to }),
             };
-            let session = self.sessions.get(&host);
-            if session.is_none_or(|session| session.orders.send(order).is_err()) {
-                log::warn!("no session for an order: host={host}");
-            }
+            self.order(&host, order);
         }
     }
 }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -8,7 +8,11 @@
 use std::io;
 
 use fescuelead_core::{
-    jobs::{Ended, HostInfo, Rejection, TaskRef},
+    jobs::{
+        Ended, HostInfo, Rejection, TaskRef,
+        disturbance::{Change, PairTable},
+        pace::Headroom,
+    },
     plain,
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -43,6 +47,8 @@
             /// The run.
             run: u32,
         },
+        /// What was learned of the images on this host.
+        Pairs(PairTable),
         /// The ends up to this number are stored.
         Forget {
             /// The incarnation of the endpoint.
@@ -64,10 +70,14 @@
         pub payload: String,
         /// The checkpoint to go on from.
         pub checkpoint: Option<String>,
+        /// The processors that the task asks for, in thousandths of a core.
+        pub cpu_milli: u32,
         /// Whether the task only uses processor time that others leave.
         pub background: bool,
         /// The bound on the tail latency of a task that serves users, in milliseconds.
         pub tail_target_ms: Option<u32>,
+        /// What the task runs.
+        pub image: Option<String>,
     }
 
     /// From an agent to the leader.
@@ -120,11 +130,12 @@
             /// The checkpoint.
             checkpoint: String,
         },
-        /// Background tasks run at this share of their speed, in percent.
-        Paced {
-            /// The share.
-            percent: u8,
-        },
+        /// What background tasks may add to the latencies of serving tasks here.
+        Headroom(Headroom),
+        /// How latencies and the work of background tasks changed together.
+        Changes(Vec<Change>),
+        /// What an earlier leader had learned of the images here.
+        Remembered(PairTable),
         /// Nothing that was started on this incarnation runs any more.
         Gone {
             /// The incarnation of the endpoint.
--- a/crates/fleet/tests/agent.rs
+++ b/crates/fleet/tests/agent.rs
@@ -51,8 +51,10 @@
             run,
             payload: "render".to_owned(),
             checkpoint: None,
+            cpu_milli: 1_000,
             background: false,
             tail_target_ms: None,
+            image: None,
         };
         self.say(ToAgent::Start(start)).await;
     }
