Move slowed background tasks, and look at hosts once a step

Cause 1: a step ends with its slowest task. Tasks that save checkpoints are stopped there and go on elsewhere. All tasks of a step want the same, so hosts are looked at once a step, and images are small keys. Constants: readings are believed sooner (85 and 50 % of a change), unseen pairs count as twice as disturbing, the goal is 80 % of the target, and a background task waits for three quarters of its speed.

--- a/crates/core/src/interference.rs
+++ b/crates/core/src/interference.rs
@@ -223,6 +223,12 @@
         }
     }
 
+    /// The expected slowdown of a pair; cheaper than [`Self::effect`]. Constant time.
+    pub fn mean(&self, victim: ClassId, aggressor: ClassId) -> f32 {
+        let pair = self.index(victim, aggressor).and_then(|index| self.pairs.get(index));
+        pair.map_or(self.settings.prior.mean, |pair| pair.mean)
+    }
+
     /// Whether enough was seen of a pair to trust its estimate.
     pub fn is_known(&self, victim: ClassId, aggressor: ClassId, now: TimeMs) -> bool {
         self.effect(victim, aggressor, now).deviation < self.settings.known_deviation
--- a/crates/core/src/jobs/disturbance.rs
+++ b/crates/core/src/jobs/disturbance.rs
@@ -17,12 +17,12 @@
     units::TimeMs,
 };
 
-/// What is assumed of a pair that was never seen together: a tenth of a host's processors adds a tenth to the tail.
-const UNSEEN: Effect = Effect { mean: 1.0, deviation: 2.0 };
+/// What is assumed of a pair that was never seen together: a tenth of a host's processors adds a fifth to the tail.
+const UNSEEN: Effect = Effect { mean: 2.0, deviation: 4.0 };
 /// The standard deviation of a pair that an agent remembers from the time of an earlier leader.
-const REMEMBERED_DEVIATION: f32 = 1.0;
+const REMEMBERED_DEVIATION: f32 = 2.0;
 /// A pair with a smaller deviation is worth telling.
-const TOLD_DEVIATION: f32 = 1.5;
+const TOLD_DEVIATION: f32 = 3.0;
 /// The standard deviation of the change of a tail latency between two readings without any cause: readings are rough, and the
 /// load of the serving task changes as well.
 const READING_NOISE: f32 = 0.25;
@@ -86,11 +86,11 @@
 
     /// Learns from a change on one host. Linear in the background images of the change.
     pub fn observe(&mut self, change: &Change, now: TimeMs) {
-        let serving = self.images.intern(&change.serving);
+        let serving = self.image(&change.serving);
         let shares: Vec<(ClassId, f32)> = change
             .shares_milli
             .iter()
-            .map(|(image, share_milli)| (self.images.intern(image), *share_milli as f32 / 1_000.0))
+            .map(|(image, share_milli)| (self.image(image), *share_milli as f32 / 1_000.0))
             .collect();
         self.pairs.observe_change(serving, &shares, change.growth_milli as f32 / 1_000.0, now);
     }
@@ -98,7 +98,7 @@
     /// Takes over what an agent remembers of pairs that this process has not seen together.
     pub fn recall(&mut self, table: &PairTable, now: TimeMs) {
         for (pair, growth_milli) in table {
-            let (serving, background) = (self.images.intern(&pair.serving), self.images.intern(&pair.background));
+            let (serving, background) = (self.image(&pair.serving), self.image(&pair.background));
             if self.pairs.effect(serving, background, now).deviation >= UNSEEN.deviation {
                 let effect = Effect { mean: *growth_milli as f32 / 1_000.0, deviation: REMEMBERED_DEVIATION };
                 self.pairs.adopt(serving, background, effect, now);
@@ -106,32 +106,37 @@
         }
     }
 
+    /// The key of an image; a new one if it was not seen before.
+    pub fn image(&mut self, name: &str) -> ClassId {
+        match self.images.find(name) {
+            Some(image) => image,
+            None => self.images.intern(&name.to_owned()),
+        }
+    }
+
     /// By how much the logarithm of the tail latency of `serving` grows if `background` uses a whole host, in thousandths.
-    pub fn growth_milli(&self, background: &str, serving: &str, now: TimeMs) -> u32 {
-        (self.effect(background, serving, now).mean * 1_000.0) as u32
+    /// Constant time.
+    pub fn growth_milli(&self, background: ClassId, serving: ClassId) -> u32 {
+        (self.pairs.mean(serving, background) * 1_000.0) as u32
     }
 
     /// The same for all pairs of `background` and `serving` images of which something is known.
-    pub fn table<'i>(
+    pub fn table(
         &self,
-        background: impl Iterator<Item = &'i String> + Clone,
-        serving: impl Iterator<Item = &'i String>,
+        background: impl Iterator<Item = ClassId> + Clone,
+        serving: impl Iterator<Item = ClassId>,
         now: TimeMs,
     ) -> PairTable {
         serving
             .flat_map(|serving| background.clone().map(move |background| (background, serving)))
-            .filter(|(background, serving)| self.effect(background, serving, now).deviation < TOLD_DEVIATION)
-            .map(|(background, serving)| {
-                let growth_milli = self.growth_milli(background, serving, now);
-                (Pair { background: background.clone(), serving: serving.clone() }, growth_milli)
+            .filter(|(background, serving)| self.pairs.effect(*serving, *background, now).deviation < TOLD_DEVIATION)
+            .filter_map(|(background, serving)| {
+                let pair = Pair {
+                    background: self.images.name(background)?.clone(),
+                    serving: self.images.name(serving)?.clone(),
+                };
+                Some((pair, self.growth_milli(background, serving)))
             })
             .collect()
     }
-
-    fn effect(&self, background: &str, serving: &str, now: TimeMs) -> Effect {
-        match (self.images.find(serving), self.images.find(background)) {
-            (Some(serving), Some(background)) => self.pairs.effect(serving, background, now),
-            _ => UNSEEN,
-        }
-    }
 }
--- a/crates/core/src/jobs/hosts.rs
+++ b/crates/core/src/jobs/hosts.rs
@@ -4,10 +4,12 @@
 
 use super::{
     disturbance::{Disturbances, PairTable},
-    pace::Headroom,
     spec::{StepSpec, TaskRef},
 };
-use crate::units::{Resources, TimeMs};
+use crate::{
+    interference::ClassId,
+    units::{Resources, TimeMs},
+};
 
 /// The name of a host: that of the agent on it.
 pub type HostName = String;
@@ -50,7 +52,9 @@
     pub resources: Resources,
     pub background: bool,
     pub serves: bool,
-    pub image: Option<String>,
+    pub image: Option<ClassId>,
+    /// Whether it was stopped to go on elsewhere.
+    pub moving: bool,
 }
 
 /// How a host is connected to the leader.
@@ -76,11 +80,13 @@
     used: Resources,
     background_cpu_milli: u32,
     /// The processors that background tasks asked for, by image, in thousandths of a core.
-    background_images: BTreeMap<String, u32>,
+    background_images: BTreeMap<ClassId, u32>,
     serving: u32,
     serving_cpu_milli: u32,
-    /// What background tasks may add to the latencies of serving tasks.
-    pub headroom: Headroom,
+    /// What background tasks may add to the logarithm of the latency of each serving image, in thousandths.
+    pub headroom_milli: Vec<(ClassId, i32)>,
+    /// The background images that are slowed so much that their tasks are better off elsewhere, and since when.
+    pub slow_since: BTreeMap<ClassId, TimeMs>,
     /// What the agent was told of pairs of images.
     pub told: PairTable,
     /// The latest ends, one bit each; 1 is a failure.
@@ -101,20 +107,21 @@
             background_images: BTreeMap::new(),
             serving: 0,
             serving_cpu_milli: 0,
-            headroom: Headroom::new(),
+            headroom_milli: Vec::new(),
+            slow_since: BTreeMap::new(),
             told: PairTable::new(),
             ends: 0,
             avoid_until: TimeMs::default(),
         }
     }
 
-    /// Commits resources to a run.
-    pub fn add(&mut self, task: TaskRef, run: u32, step: &StepSpec) {
+    /// Commits resources to a run of a step with this image.
+    pub fn add(&mut self, task: TaskRef, run: u32, step: &StepSpec, image: Option<ClassId>) {
         let mut resources = step.resources;
         if step.background {
             self.background_cpu_milli += resources.cpu_milli;
-            if let Some(image) = &step.image {
-                *self.background_images.entry(image.clone()).or_default() += resources.cpu_milli;
+            if let Some(image) = image {
+                *self.background_images.entry(image).or_default() += resources.cpu_milli;
             }
             resources.cpu_milli = 0;
         }
@@ -125,7 +132,7 @@
         }
         self.used = self.used.plus(&resources);
         let placed =
-            Placed { run, resources: step.resources, background: step.background, serves, image: step.image.clone() };
+            Placed { run, resources: step.resources, background: step.background, serves, image, moving: false };
         if let Some(earlier) = self.tasks.insert(task, placed) {
             self.release(&earlier);
         }
@@ -142,12 +149,12 @@
         let mut resources = placed.resources;
         if placed.background {
             self.background_cpu_milli -= resources.cpu_milli;
-            if let Some(image) = &placed.image
-                && let Some(cpu_milli) = self.background_images.get_mut(image)
+            if let Some(image) = placed.image
+                && let Some(cpu_milli) = self.background_images.get_mut(&image)
             {
                 *cpu_milli -= resources.cpu_milli;
                 if *cpu_milli == 0 {
-                    self.background_images.remove(image);
+                    self.background_images.remove(&image);
                 }
             }
             resources.cpu_milli = 0;
@@ -214,31 +221,36 @@
 
     /// The speed at which one more background task of `step` would probably run here, in percent: as far as there are
     /// processors, and as far as the serving tasks beside it bear it. Linear in the pairs of images on the host.
-    pub fn background_speed_percent(&self, step: &StepSpec, disturbances: &Disturbances, now: TimeMs) -> u32 {
+    pub fn background_speed_percent(
+        &self,
+        step: &StepSpec,
+        image: Option<ClassId>,
+        disturbances: &Disturbances,
+    ) -> u32 {
         let Some(info) = &self.info else { return 0 };
         let total = u64::from(info.capacity.cpu_milli.max(1));
         let wanted = u64::from(step.resources.cpu_milli.max(1));
         let mut speed = (u64::from(self.background_room(info.capacity.cpu_milli)) * 100 / wanted).min(100);
-        let Some(image) = &step.image else { return speed as u32 };
-        for (serving, headroom_milli) in &self.headroom {
-            let growth = |image: &str, cpu_milli: u64| {
-                u64::from(disturbances.growth_milli(image, serving, now)) * cpu_milli / total
+        let Some(image) = image else { return speed as u32 };
+        for &(serving, headroom_milli) in &self.headroom_milli {
+            let growth = |image: ClassId, cpu_milli: u64| {
+                u64::from(disturbances.growth_milli(image, serving)) * cpu_milli / total
             };
             let added_milli = growth(image, wanted);
             if added_milli < NEGLIGIBLE_MILLI {
                 continue;
             }
             let present: u64 =
-                self.background_images.iter().map(|(image, cpu_milli)| growth(image, u64::from(*cpu_milli))).sum();
-            let left_milli = (i64::from(*headroom_milli) - present as i64).max(0) as u64;
+                self.background_images.iter().map(|(image, cpu_milli)| growth(*image, u64::from(*cpu_milli))).sum();
+            let left_milli = (i64::from(headroom_milli) - present as i64).max(0) as u64;
             speed = speed.min(left_milli * 100 / added_milli);
         }
         speed as u32
     }
 
     /// The images of background tasks and of serving tasks on the host.
-    pub fn images(&self) -> (impl Iterator<Item = &String> + Clone, impl Iterator<Item = &String>) {
-        (self.background_images.keys(), self.headroom.keys())
+    pub fn images(&self) -> (impl Iterator<Item = ClassId> + Clone, impl Iterator<Item = ClassId>) {
+        (self.background_images.keys().copied(), self.headroom_milli.iter().map(|(serving, _)| *serving))
     }
 
     /// What is committed to tasks with processors of their own.
@@ -257,13 +269,13 @@
     ///
     /// Background tasks disturb tasks that serve users, and are paced down beside them. Serving tasks are therefore packed
     /// onto few hosts, which leaves the others to background tasks; all other tasks go rather to the hosts that serve.
-    pub fn score(&self, step: &StepSpec, disturbances: &Disturbances, now: TimeMs) -> i64 {
+    pub fn score(&self, step: &StepSpec, background_speed_percent: u32, now: TimeMs) -> i64 {
         let Some(info) = &self.info else { return i64::MIN };
         let total = i64::from(info.capacity.cpu_milli.max(1));
         let serves = step.tail_target_ms.is_some();
         let mut score = if step.background {
-            let speed = i64::from(self.background_speed_percent(step, disturbances, now)) * 10;
-            speed + i64::from(self.background_room(info.capacity.cpu_milli)) * 1_000 / total
+            i64::from(background_speed_percent) * 10
+                + i64::from(self.background_room(info.capacity.cpu_milli)) * 1_000 / total
         } else {
             let demand = i64::from(self.used.cpu_milli) + i64::from(self.background_cpu_milli);
             1_000 - (demand + i64::from(step.resources.cpu_milli)) * 1_000 / total
--- a/crates/core/src/jobs/pace.rs
+++ b/crates/core/src/jobs/pace.rs
@@ -21,12 +21,12 @@
 
 /// The share of its target that a tail latency should stay below, in percent. Readings are rough, and a task above its target
 /// because of background tasks counts four times.
-const GOAL_PERCENT: f32 = 75.0;
+const GOAL_PERCENT: f32 = 80.0;
 /// The time between two decisions in milliseconds; readings cover half a second.
 const SPACING_MS: u64 = 500;
 /// How much of a change of a serving task's own latency is believed at once, if it is worse and if it is better, in percent.
-const WORSE_BELIEVED_PERCENT: f32 = 60.0;
-const BETTER_BELIEVED_PERCENT: f32 = 30.0;
+const WORSE_BELIEVED_PERCENT: f32 = 85.0;
+const BETTER_BELIEVED_PERCENT: f32 = 50.0;
 /// Shares below this become 0, in percent.
 const LEAST_PERCENT: u8 = 10;
 /// Smaller changes of a share are not worth a call, in percent points.
@@ -52,6 +52,9 @@
 /// goal, in thousandths.
 pub type Headroom = BTreeMap<String, i32>;
 
+/// The shares at which background images run, in percent. Images that are not named run at full speed.
+pub type Paces = BTreeMap<String, u8>;
+
 /// The latest reading of a serving task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServingReading {
@@ -83,6 +86,8 @@
     pub changes: Vec<Change>,
     /// The headrooms, if they have changed.
     pub headroom: Option<Headroom>,
+    /// The paces, if they have changed.
+    pub paces: Option<Paces>,
 }
 
 /// The processors of a background image on this host, as shares of the host.
@@ -107,7 +112,7 @@
 #[derive(Debug, Clone)]
 pub struct Pacer {
     table: PairTable,
-    percents: BTreeMap<String, u8>,
+    percents: Paces,
     /// The logarithm of the latency of each serving image over its target, less what background tasks add.
     own: BTreeMap<String, f32>,
     strain: Strain,
@@ -122,7 +127,7 @@
     pub fn new() -> Self {
         Self {
             table: PairTable::new(),
-            percents: BTreeMap::new(),
+            percents: Paces::new(),
             own: BTreeMap::new(),
             strain: Strain::Counting(0),
             next: TimeMs::default(),
@@ -142,9 +147,9 @@
         self.percents.get(image).copied().unwrap_or(100)
     }
 
-    /// The least of the shares, in percent.
-    pub fn least_percent(&self) -> u8 {
-        self.percents.values().copied().min().unwrap_or(100)
+    /// The shares of all images that run here.
+    pub fn paces(&self) -> &Paces {
+        &self.percents
     }
 
     /// What was learned of pairs, as far as it was told.
@@ -179,12 +184,14 @@
         let changes = self.changes(serving, &shares);
         let worst = self.update_own(serving, &shares);
         self.strain = self.next_strain(worst, now);
-        self.percents = match self.strain {
+        let percents = match self.strain {
             Strain::Counting(_) => self.plan(&shares),
             Strain::Standstill { .. } => shares.keys().map(|image| (image.clone(), 0)).collect(),
-            Strain::Free { .. } => BTreeMap::new(),
+            Strain::Free { .. } => Paces::new(),
         };
-        Findings { changes, headroom: self.changed_headroom() }
+        let paces = (percents != self.percents).then(|| percents.clone());
+        self.percents = percents;
+        Findings { changes, headroom: self.changed_headroom(), paces }
     }
 
     fn shares(&self, host_cpu_milli: u32, background: &[BackgroundReading]) -> BTreeMap<String, Shares> {
@@ -280,7 +287,7 @@
     }
 
     /// The largest shares that keep each serving image within its headroom.
-    fn plan(&self, shares: &BTreeMap<String, Shares>) -> BTreeMap<String, u8> {
+    fn plan(&self, shares: &BTreeMap<String, Shares>) -> Paces {
         let mut percents: BTreeMap<&str, f32> = shares.keys().map(|image| (image.as_str(), 100.0)).collect();
         for (serving, own) in &self.own {
             let headroom = (headroom(*own)).max(0.0);
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -16,13 +16,14 @@
     disturbance::{Change, Disturbances, PairTable},
     hosts::{Host, HostInfo, HostName, Link},
     lease::LeasePlan,
-    pace::Headroom,
+    pace::{Headroom, Paces},
     progress::{JobProgress, Phase, TaskState},
     replica::Replica,
     spec::{JobId, JobSpec, QueueSettings, TaskRef},
 };
 use crate::units::TimeMs;
 
+mod moving;
 mod placing;
 
 /// How often hosts are told what was learned of images, in milliseconds: as often as they decide on paces.
@@ -179,6 +180,7 @@
     place_at: TimeMs,
     disturbances: Disturbances,
     tell_at: TimeMs,
+    move_at: TimeMs,
 }
 
 impl Scheduler {
@@ -204,6 +206,7 @@
             place_at: now.at,
             disturbances: Disturbances::new(),
             tell_at: now.at,
+            move_at: now.at,
         };
         let silent = Link::Silent { lost_at: plan.lost_after_takeover(now.at) };
         for host in known_hosts {
@@ -228,7 +231,8 @@
             // host is compared with its assignments.
             host.incarnation = host.incarnation.max(Some(incarnation));
             if let Some(step) = spec.steps.get(task.step as usize) {
-                host.add(task, run, step);
+                let image = step.image.as_deref().map(|image| self.disturbances.image(image));
+                host.add(task, run, step, image);
             }
         }
         self.accepted += 1;
@@ -274,13 +278,29 @@
     }
 
     /// What background tasks may add on a host to the latencies of the tasks that serve there.
-    pub fn host_headroom(&mut self, name: &HostName, headroom: Headroom) {
+    pub fn host_headroom(&mut self, name: &HostName, headroom: &Headroom) {
+        let headroom_milli = headroom.iter().map(|(image, milli)| (self.disturbances.image(image), *milli)).collect();
         if let Some(host) = self.hosts.get_mut(name) {
-            host.headroom = headroom;
+            host.headroom_milli = headroom_milli;
             self.place_again = true;
         }
     }
 
+    /// The shares at which a host lets background images run, in percent; images that are not named run at full speed.
+    pub fn host_paces(&mut self, name: &HostName, paces: &Paces, now: Moment) {
+        let slow: BTreeSet<_> = paces
+            .iter()
+            .filter(|(_, percent)| **percent < moving::SLOW_PERCENT)
+            .map(|(image, _)| self.disturbances.image(image))
+            .collect();
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.slow_since.retain(|image, _| slow.contains(image));
+            for image in slow {
+                host.slow_since.entry(image).or_insert(now.at);
+            }
+        }
+    }
+
     /// Learns from what changed on a host.
     pub fn disturbed(&mut self, changes: &[Change], now: Moment) {
         changes.iter().for_each(|change| self.disturbances.observe(change, now.at));
@@ -466,6 +486,7 @@
             self.refresh(job, now);
         }
         self.place(now);
+        self.move_slowed(now.at);
     }
 
     /// The hosts that are silent with runs on them that have not been given up.
--- a/crates/core/src/jobs/scheduler/placing.rs
+++ b/crates/core/src/jobs/scheduler/placing.rs
@@ -4,7 +4,9 @@
 
 use super::{Effect, Moment, ReadyKey, Scheduler};
 use crate::{
+    interference::ClassId,
     jobs::{
+        disturbance::Disturbances,
         hosts::HostName,
         progress::TaskState,
         spec::{JobSpec, StepSpec, TaskRef},
@@ -18,8 +20,54 @@
 /// milliseconds. Slow progress shows its clients more than none.
 const IDLE_MS: u64 = 1_000;
 
+/// Subtracted from the score of a host on which the task has failed: more than all but avoidance.
+const FAILED_HERE_PENALTY: i64 = 5_000;
 /// A background task waits for a host that lets it run at this speed at least, in percent.
-const LEAST_SPEED_PERCENT: u32 = 50;
+const LEAST_SPEED_PERCENT: u32 = 75;
+
+/// What the tasks of a step want of a host.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Wanted<'s> {
+    step: &'s StepSpec,
+    image: Option<ClassId>,
+    service: &'s str,
+    label: Option<&'s str>,
+    /// The least speed of a background task, in percent.
+    least_speed_percent: u32,
+}
+
+impl<'s> Wanted<'s> {
+    /// A host of `service` with room for a task of `step`.
+    pub fn new(step: &'s StepSpec, service: &'s str, disturbances: &mut Disturbances) -> Self {
+        let image = step.image.as_deref().map(|image| disturbances.image(image));
+        Self { step, image, service, label: None, least_speed_percent: LEAST_SPEED_PERCENT }
+    }
+
+    /// The host has to have this label.
+    pub fn with_label(self, label: Option<&'s str>) -> Self {
+        Self { label, ..self }
+    }
+
+    /// The host has to let a background task run at this speed, in percent.
+    pub fn with_least_speed(self, least_speed_percent: u32) -> Self {
+        Self { least_speed_percent, ..self }
+    }
+}
+
+/// A host that can take a task.
+#[derive(Debug)]
+struct Candidate {
+    host: HostName,
+    score: i64,
+}
+
+impl Candidate {
+    /// The score for a task that has failed on these hosts.
+    fn score(&self, failed_on: Option<&BTreeSet<HostName>>) -> i64 {
+        let failed_here = failed_on.is_some_and(|hosts| hosts.contains(&self.host));
+        self.score - if failed_here { FAILED_HERE_PENALTY } else { 0 }
+    }
+}
 
 impl Scheduler {
     /// Places waiting tasks, the most urgent first. A step that does not fit does not hold up the ones behind it.
@@ -49,24 +97,13 @@
             .filter(|(_, task)| task.state == TaskState::Waiting)
             .map(|(index, task)| (task_ref(index), task.run))
             .collect();
+        let idle = job.idle_since.is_some_and(|since| now.since_ms(since) >= IDLE_MS);
+        let tasks = tasks.len();
+        let wanted = Wanted::new(step, &service, &mut self.disturbances);
         if step.gang {
-            self.place_gang(&spec, step, &service, &waiting, tasks.len(), now);
+            self.place_gang(&spec, &wanted, &waiting, tasks, now);
         } else {
-            let idle = job.idle_since.is_some_and(|since| now.since_ms(since) >= IDLE_MS);
-            let mostly_free = step.background && self.is_mostly_free(&service);
-            let mut first = true;
-            for (task, run) in &waiting {
-                let mut host = self.best_host(task, step, &service, None, LEAST_SPEED_PERCENT, now);
-                if host.is_none() && step.background && (mostly_free || (idle && first)) {
-                    host = self.best_host(task, step, &service, None, 0, now);
-                    if !idle || !first {
-                        host = host.filter(|host| self.hosts[host].has_uncommitted(step));
-                    }
-                }
-                first = false;
-                let Some(host) = host else { break };
-                self.assign(task, run + 1, host, &spec);
-            }
+            self.place_tasks(&spec, &wanted, &waiting, idle, now);
         }
         let still_waits = self.jobs[&key.job].progress.occurrences[key.occurrence as usize][key.step as usize]
             .iter()
@@ -76,6 +113,62 @@
         }
     }
 
+    /// Places the tasks of a step one by one, each on the best host. Linear in the hosts, and in the tasks times the hosts that
+    /// can take one.
+    fn place_tasks(
+        &mut self,
+        spec: &Arc<JobSpec>,
+        wanted: &Wanted<'_>,
+        waiting: &[(TaskRef, u32)],
+        idle: bool,
+        now: TimeMs,
+    ) {
+        let Some((first, _)) = waiting.first() else { return };
+        let mut candidates: Vec<_> =
+            self.hosts.keys().filter_map(|name| self.candidate(name, first, wanted, now)).collect();
+        for (nth, (task, run)) in waiting.iter().enumerate() {
+            let failed_on = self.jobs.get(&task.job).and_then(|job| job.failed_on.get(task));
+            let best = candidates.iter().enumerate().max_by_key(|(_, candidate)| candidate.score(failed_on));
+            let best = best.map(|(index, candidate)| (Some(index), candidate.host.clone()));
+            let anyway = || self.slow_host(task, wanted, idle, nth == 0, now).map(|host| (None, host));
+            let Some((index, host)) = best.or_else(anyway) else { break };
+            self.assign(task, run + 1, host.clone(), spec);
+            if let Some(index) = index {
+                match self.candidate(&host, task, wanted, now) {
+                    Some(candidate) => candidates[index] = candidate,
+                    None => _ = candidates.remove(index),
+                }
+            }
+        }
+    }
+
+    /// A host for a background task that no host lets run at the least speed: for the first task of a job of which nothing runs,
+    /// or while most of the service is free.
+    fn slow_host(&self, task: &TaskRef, wanted: &Wanted<'_>, idle: bool, first: bool, now: TimeMs) -> Option<HostName> {
+        let mostly_free = wanted.step.background && self.is_mostly_free(wanted.service);
+        if !wanted.step.background || !(mostly_free || (idle && first)) {
+            return None;
+        }
+        let host = self.best_host(task, &wanted.with_least_speed(0), now)?;
+        ((idle && first) || self.hosts[&host].has_uncommitted(wanted.step)).then_some(host)
+    }
+
+    /// A host that can take a task, and how good it is.
+    fn candidate(&self, name: &HostName, task: &TaskRef, wanted: &Wanted<'_>, now: TimeMs) -> Option<Candidate> {
+        let host = self.hosts.get(name)?;
+        if !host.can_take(task, wanted.step, wanted.service, &self.zones_out) {
+            return None;
+        }
+        let mut speed_percent = 100;
+        if wanted.step.background {
+            speed_percent = host.background_speed_percent(wanted.step, wanted.image, &self.disturbances);
+            if speed_percent < wanted.least_speed_percent {
+                return None;
+            }
+        }
+        Some(Candidate { host: name.clone(), score: host.score(wanted.step, speed_percent, now) })
+    }
+
     /// Whether less than half of the processors and of the memory of a service is committed. Linear in the number of hosts.
     fn is_mostly_free(&self, service: &str) -> bool {
         let (mut used, mut total) = (Resources::ZERO, Resources::ZERO);
@@ -92,12 +185,12 @@
     fn place_gang(
         &mut self,
         spec: &Arc<JobSpec>,
-        step: &StepSpec,
-        service: &str,
+        wanted: &Wanted<'_>,
         waiting: &[(TaskRef, u32)],
         tasks: usize,
         now: TimeMs,
     ) {
+        let step = wanted.step;
         // Members of the last run may still be ending.
         if waiting.len() < tasks {
             return;
@@ -116,11 +209,11 @@
         for rack in racks {
             let mut chosen = Vec::new();
             for (task, _) in waiting {
-                let Some(host) = self.best_host(task, step, service, rack.as_deref(), LEAST_SPEED_PERCENT, now) else {
+                let Some(host) = self.best_host(task, &wanted.with_label(rack.as_deref()), now) else {
                     break;
                 };
                 if let Some(host) = self.hosts.get_mut(&host) {
-                    host.add(*task, run, step);
+                    host.add(*task, run, step, wanted.image);
                 }
                 chosen.push((*task, host));
             }
@@ -139,30 +232,16 @@
     }
 
     /// The best host that can take a task; linear in the number of hosts.
-    fn best_host(
-        &self,
-        task: &TaskRef,
-        step: &StepSpec,
-        service: &str,
-        label: Option<&str>,
-        least_speed_percent: u32,
-        now: TimeMs,
-    ) -> Option<HostName> {
+    pub(super) fn best_host(&self, task: &TaskRef, wanted: &Wanted<'_>, now: TimeMs) -> Option<HostName> {
         let failed_on = self.jobs.get(&task.job).and_then(|job| job.failed_on.get(task));
         self.hosts
             .iter()
-            .filter(|(_, host)| host.can_take(task, step, service, &self.zones_out))
-            .filter(|(_, host)| {
-                !step.background || host.background_speed_percent(step, &self.disturbances, now) >= least_speed_percent
-            })
             .filter(|(_, host)| {
-                label.is_none_or(|label| host.info.as_ref().is_some_and(|info| info.labels.contains(label)))
-            })
-            .max_by_key(|(name, host)| {
-                let failed_here = failed_on.is_some_and(|hosts| hosts.contains(*name));
-                host.score(step, &self.disturbances, now) - if failed_here { 5_000 } else { 0 }
+                wanted.label.is_none_or(|label| host.info.as_ref().is_some_and(|info| info.labels.contains(label)))
             })
-            .map(|(name, _)| name.clone())
+            .filter_map(|(name, _)| self.candidate(name, task, wanted, now))
+            .max_by_key(|candidate| candidate.score(failed_on))
+            .map(|candidate| candidate.host)
     }
 
     fn assign(&mut self, task: &TaskRef, run: u32, name: HostName, spec: &Arc<JobSpec>) {
@@ -171,7 +250,8 @@
         let Some(step) = spec.steps.get(task.step as usize) else { return };
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(progress) = job.progress.task_mut(task) else { return };
-        host.add(*task, run, step);
+        let image = step.image.as_deref().map(|image| self.disturbances.image(image));
+        host.add(*task, run, step, image);
         progress.run = run;
         job.assigned += 1;
         job.idle_since = None;
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -465,13 +465,11 @@
                 background.push(BackgroundReading { image, used_cpu_milli, wanted_cpu_milli });
             }
         }
-        let before = pacer.least_percent();
         let findings = pacer.observe(host_cpu_milli, &serving, &background, now);
-        if pacer.least_percent() != before {
+        if let Some(paces) = &findings.paces {
             log::info!(
-                "background tasks paced: host={} least_percent={} headroom_milli={:?}",
+                "background tasks paced: host={} percent={paces:?} headroom_milli={:?}",
                 self.name,
-                pacer.least_percent(),
                 pacer.headroom()
             );
         }
@@ -486,6 +484,9 @@
         if !findings.changes.is_empty() {
             state.tell(ToLeader::Changes(findings.changes));
         }
+        if let Some(paces) = findings.paces {
+            state.tell(ToLeader::Paces(paces));
+        }
         if let Some(headroom) = findings.headroom {
             state.tell(ToLeader::Headroom(headroom));
         }
@@ -584,6 +585,7 @@
     fn introduce(&mut self) {
         self.tell(ToLeader::Info(self.info.clone()));
         self.tell(ToLeader::Headroom(self.pacer.headroom().clone()));
+        self.tell(ToLeader::Paces(self.pacer.paces().clone()));
         self.tell(ToLeader::Remembered(self.pacer.table().clone()));
         let Some(incarnation) = self.incarnation.filter(|_| !self.gone && self.report_asked != TimeMs::default())
         else {
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -380,7 +380,8 @@
             ToLeader::Checkpoint { incarnation, task, run, checkpoint } => {
                 self.scheduler.checkpoint(host, incarnation, &task, run, checkpoint);
             }
-            ToLeader::Headroom(headroom) => self.scheduler.host_headroom(host, headroom),
+            ToLeader::Headroom(headroom) => self.scheduler.host_headroom(host, &headroom),
+            ToLeader::Paces(paces) => self.scheduler.host_paces(host, &paces, now),
             ToLeader::Changes(changes) => self.scheduler.disturbed(&changes, now),
             ToLeader::Remembered(table) => self.scheduler.recall(&table, now),
             ToLeader::Gone { incarnation } => {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -11,7 +11,7 @@
     jobs::{
         Ended, HostInfo, Rejection, TaskRef,
         disturbance::{Change, PairTable},
-        pace::Headroom,
+        pace::{Headroom, Paces},
     },
     plain,
 };
@@ -132,6 +132,8 @@
         },
         /// What background tasks may add to the latencies of serving tasks here.
         Headroom(Headroom),
+        /// The shares at which background images run here.
+        Paces(Paces),
         /// How latencies and the work of background tasks changed together.
         Changes(Vec<Change>),
         /// What an earlier leader had learned of the images here.
