--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -106,6 +106,15 @@
             /// The run.
             run: u32,
         },
+        /// Stop a run that is slowed, so that it goes on elsewhere.
+        Move {
+            /// Where it runs.
+            host: HostName,
+            /// The task.
+            task: TaskRef,
+            /// The run.
+            run: u32,
+        },
         /// The ends up to this number are stored; the host may forget them.
         Forget {
             /// Which host.
@@ -374,6 +383,8 @@
         let Some(host) = self.hosts.get_mut(name) else { return };
         host.incarnation = Some(incarnation);
         host.reconciled = true;
+        // A stop of the session before may have been lost.
+        host.tasks.values_mut().for_each(|placed| placed.moving = false);
         let placed: Vec<_> = host.tasks.iter().map(|(task, placed)| (*task, placed.run)).collect();
         for (task, run) in placed {
             let job = self.jobs.get(&task.job);
@@ -497,6 +508,11 @@
             .map(|(name, host)| (name, host.tasks.len()))
     }
 
+    /// The number of hosts with a session.
+    pub fn connected_hosts(&self) -> usize {
+        self.hosts.values().filter(|host| host.link == Link::Connected).count()
+    }
+
     /// The number of steps with waiting tasks.
     pub fn waiting_steps(&self) -> usize {
         self.ready.len()
--- a/crates/core/src/jobs/scheduler/moving.rs
+++ b/crates/core/src/jobs/scheduler/moving.rs
@@ -50,7 +50,7 @@
             if let Some(placed) = self.hosts.get_mut(&from).and_then(|host| host.tasks.get_mut(&task)) {
                 placed.moving = true;
                 taken.insert(target);
-                self.effects.push(Effect::Stop { host: from, task, run });
+                self.effects.push(Effect::Move { host: from, task, run });
             }
         }
     }
--- a/crates/core/tests/disturbance.rs
+++ b/crates/core/tests/disturbance.rs
@@ -351,7 +351,7 @@
 #[test]
 fn a_slowed_task_goes_on_where_it_may_run() {
     let effects = slowed(true, 1_000);
-    assert!(matches!(&effects[..], [Effect::Stop { host, run: 1, .. }] if host == "host-a"), "{effects:?}");
+    assert!(matches!(&effects[..], [Effect::Move { host, run: 1, .. }] if host == "host-a"), "{effects:?}");
 }
 
 /// A task that is stopped without need loses the time of the stop and of the restore.
--- a/crates/core/tests/jobs_explorer.rs
+++ b/crates/core/tests/jobs_explorer.rs
@@ -13,7 +13,7 @@
 use fescuelead_core::{
     jobs::{
         Batch, Effect, End, Ended, HostInfo, JobId, JobProgress, JobSpec, JobStatus, Moment, QueueSettings, Rejection,
-        Replica, Scheduler, StepSpec, TaskRef, lease::LeasePlan,
+        Replica, Scheduler, StepSpec, TaskRef, lease::LeasePlan, pace::Paces,
     },
     units::{Resources, TimeMs},
 };
@@ -25,6 +25,8 @@
 const HOSTS: usize = 3;
 const JOBS: u64 = 6;
 const HOST_CPU_MILLI: u32 = 4_000;
+/// The image of the background tasks.
+const IMAGE: &str = "render";
 const UNIX_MS: u64 = 1_700_000_000_000;
 
 /// A fault that is planted in the leader, to show that the explorer finds it.
@@ -70,6 +72,7 @@
     /// Tasks whose success was forgotten by the host.
     noted: BTreeSet<TaskRef>,
     starts: u64,
+    moves: u64,
 }
 
 fn name(host: usize) -> String {
@@ -88,7 +91,9 @@
         after,
         ..StepSpec::default()
     };
-    let steps = vec![step(rng, vec![]), step(rng, vec![0])];
+    let background =
+        StepSpec { background: true, checkpoints: true, image: Some(IMAGE.to_owned()), ..step(rng, vec![]) };
+    let steps = vec![step(rng, vec![]), step(rng, vec![0]), background];
     let settings = QueueSettings {
         service: "s".to_owned(),
         priority: 0,
@@ -127,6 +132,7 @@
             answered: vec![None; HOSTS],
             noted: BTreeSet::new(),
             starts: 0,
+            moves: 0,
         };
         for id in 1..=JOBS {
             let spec = spec(&mut world.rng);
@@ -142,7 +148,9 @@
     }
 
     fn cpu(&self, task: &TaskRef) -> u32 {
-        self.specs[&task.job].steps[task.step as usize].resources.cpu_milli
+        let step = &self.specs[&task.job].steps[task.step as usize];
+        // Background tasks take what others leave.
+        if step.background { 0 } else { step.resources.cpu_milli }
     }
 
     /// Lets time pass: grants are renewed where there is a session, and leases end.
@@ -248,9 +256,13 @@
             self.stored.progressed(job, progress);
         }
         for effect in effects {
-            let (Effect::Start { host, .. } | Effect::Stop { host, .. } | Effect::Forget { host, .. }) = &effect;
+            let (Effect::Start { host, .. }
+            | Effect::Stop { host, .. }
+            | Effect::Move { host, .. }
+            | Effect::Forget { host, .. }) = &effect;
             let host = &mut self.hosts[index(host)];
             if host.session {
+                self.moves += u64::from(matches!(effect, Effect::Move { .. }));
                 host.orders.push_back(effect);
             }
         }
@@ -286,7 +298,7 @@
                 host.runs.insert(task, (run, cpu));
                 self.starts += 1;
             }
-            Effect::Stop { host, task, run } => {
+            Effect::Stop { host, task, run } | Effect::Move { host, task, run } => {
                 let host = &mut self.hosts[index(&host)];
                 let seen = host.seen.entry(task).or_default();
                 *seen = run.max(*seen);
@@ -339,7 +351,12 @@
                 };
                 self.finish_a_run(at, end);
             }
-            70..80 => self.connect(at),
+            70..78 => self.connect(at),
+            78..80 => {
+                let percent = if self.rng.random_bool(0.5) { 0 } else { 100 };
+                let moment = self.moment();
+                self.scheduler.host_paces(&name(at), &Paces::from([(IMAGE.to_owned(), percent)]), moment);
+            }
             80..90 => {
                 let ms = self.rng.random_range(10..400);
                 self.pass(ms);
@@ -375,8 +392,8 @@
     }
 }
 
-/// Plays one schedule. Returns how many runs started.
-fn play(seed: u64, fault: Fault) -> u64 {
+/// Plays one schedule. Returns how many runs started, and how many were to go on elsewhere.
+fn play(seed: u64, fault: Fault) -> (u64, u64) {
     let mut world = World::new(seed, fault);
     for _ in 0..EVENTS {
         world.event(false);
@@ -393,14 +410,17 @@
     for (job, copy) in world.stored.jobs() {
         assert_eq!(copy.status(), Some(JobStatus::Completed), "LOST job {job} does not end, seed {seed}");
     }
-    world.starts
+    (world.starts, world.moves)
 }
 
 #[test]
 fn no_schedule_runs_a_task_twice_or_overcommits_a_host_or_loses_a_job() {
-    let starts: u64 = (0..SCHEDULES).map(|seed| play(seed, Fault::None)).sum();
-    println!("{SCHEDULES} schedules, {starts} starts");
+    let (starts, moves) = (0..SCHEDULES)
+        .map(|seed| play(seed, Fault::None))
+        .fold((0, 0), |sum, played| (sum.0 + played.0, sum.1 + played.1));
+    println!("{SCHEDULES} schedules, {starts} starts, {moves} moves");
     assert!(starts > SCHEDULES * JOBS);
+    assert!(moves > SCHEDULES / 10);
 }
 
 /// An explorer that finds none of these would prove nothing.
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -29,6 +29,7 @@
     clock::Clock,
     endpoint::{Endpoint, EndpointError, Report, Running, StartAnswer, StartOrder},
     message::{Start, ToAgent, ToLeader},
+    metrics::AgentMetrics,
     session,
 };
 
@@ -94,6 +95,7 @@
     name: String,
     endpoint: Box<dyn Endpoint>,
     clock: Clock,
+    metrics: AgentMetrics,
     state: std::cell::RefCell<State>,
     /// Something happened that the report loop waits for.
     stored: Notify,
@@ -102,7 +104,13 @@
 impl Agent {
     /// Makes the agent `name`. It starts without authority: what runs goes on until its lease ends, or a leader grants
     /// more time.
-    pub fn new(name: String, endpoint: Box<dyn Endpoint>, plan: LeasePlan, clock: Clock) -> Rc<Self> {
+    pub fn new(
+        name: String,
+        endpoint: Box<dyn Endpoint>,
+        plan: LeasePlan,
+        clock: Clock,
+        metrics: AgentMetrics,
+    ) -> Rc<Self> {
         let now = clock.now();
         let state = State {
             // Grows from one process to the next, since only one runs beside an endpoint at a time. A time of day that was
@@ -128,7 +136,7 @@
             calls: 0,
             leaving: false,
         };
-        Rc::new(Self { name, endpoint, clock, state: state.into(), stored: Notify::new() })
+        Rc::new(Self { name, endpoint, clock, metrics, state: state.into(), stored: Notify::new() })
     }
 
     /// The endpoint said something of itself.
@@ -193,6 +201,7 @@
             return Err(state.epoch);
         }
         log::info!("session opened: host={} leader={leader} epoch={epoch}", self.name);
+        self.metrics.sessions.inc();
         state.epoch = epoch;
         let (sender, receiver) = mpsc::unbounded_channel();
         state.session = Some(sender);
@@ -273,7 +282,7 @@
                 continue;
             };
             order.deadline_ms = deadline_ms;
-            match self.call(ANSWER_MS, self.endpoint.start(token, &order)).await {
+            match self.call("start", ANSWER_MS, self.endpoint.start(token, &order)).await {
                 Ok(StartAnswer::Started) => return,
                 Ok(StartAnswer::Fenced) => self.raise_token(token),
                 Ok(StartAnswer::Late) => sleep(Duration::from_millis(RETRY_MS)).await,
@@ -347,7 +356,7 @@
                 }
                 state.token
             };
-            match self.call(ANSWER_MS, self.endpoint.stop(token, task, run)).await {
+            match self.call("stop", ANSWER_MS, self.endpoint.stop(token, task, run)).await {
                 Ok(true) => return self.settle(incarnation, task, run).await,
                 Ok(false) => self.raise_token(token),
                 Err(_) => sleep(Duration::from_millis(RETRY_MS)).await,
@@ -391,7 +400,8 @@
                 };
                 (state.token, deadline, state.forget_up_to, wait_ms)
             };
-            let answer = self.call(wait_ms + ANSWER_MS, self.endpoint.report(token, deadline, seen, wait_ms)).await;
+            let answer =
+                self.call("report", wait_ms + ANSWER_MS, self.endpoint.report(token, deadline, seen, wait_ms)).await;
             match answer {
                 Ok(Some(report)) => {
                     self.reported(report, asked);
@@ -466,7 +476,9 @@
             }
         }
         let findings = pacer.observe(host_cpu_milli, &serving, &background, now);
+        self.metrics.running.set(running.len() as i64);
         if let Some(paces) = &findings.paces {
+            self.metrics.paced_images.set(paces.values().filter(|percent| **percent < 100).count() as i64);
             log::info!(
                 "background tasks paced: host={} percent={paces:?} headroom_milli={:?}",
                 self.name,
@@ -494,7 +506,7 @@
 
     async fn set_pace(self: Rc<Self>, task: TaskRef, run: u32, percent: u8) {
         let token = self.state.borrow().token;
-        if let Err(error) = self.call(ANSWER_MS, self.endpoint.pace(token, task, run, percent)).await {
+        if let Err(error) = self.call("pace", ANSWER_MS, self.endpoint.pace(token, task, run, percent)).await {
             log::warn!("pace unanswered: task={task} run={run} host={} error={error}", self.name);
             // An impossible share makes the next report send the pace again.
             if let Some(order) = self.state.borrow_mut().orders.get_mut(&task) {
@@ -562,13 +574,18 @@
 
     async fn call<T>(
         &self,
+        kind: &'static str,
         limit_ms: u64,
         call: impl Future<Output = Result<T, EndpointError>>,
     ) -> Result<T, EndpointError> {
+        let asked = self.clock.now();
         self.state.borrow_mut().calls += 1;
         let answer = timeout(Duration::from_millis(limit_ms), call).await;
         self.state.borrow_mut().calls -= 1;
-        answer.unwrap_or_else(|_| Err(EndpointError::Unknown(format!("none within {limit_ms} ms"))))
+        let answer = answer.unwrap_or_else(|_| Err(EndpointError::Unknown(format!("none within {limit_ms} ms"))));
+        let outcome = answer.as_ref().map_or_else(EndpointError::kind, |_| "ok");
+        self.metrics.endpoint_calls.ended(kind, outcome, self.clock.now().since_ms(asked));
+        answer
     }
 }
 
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -71,6 +71,16 @@
     Unknown(String),
 }
 
+impl EndpointError {
+    /// The kind, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Down(_) => "down",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
 /// An endpoint, called by the agent beside it only.
 #[async_trait(?Send)]
 pub trait Endpoint {
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -29,6 +29,7 @@
     clock::Clock,
     directory::{Directory, OperatorChange, Route},
     leader::{self, LeaderEvent},
+    metrics::EntryMetrics,
     session::Leading,
     store::{JobRecord, Page, Record, Store, StoreError, Stream},
 };
@@ -69,6 +70,8 @@
     pub clock: Clock,
     /// Reads a record of [`Stream::Operator`].
     pub read_operator: fn(&Record) -> Result<OperatorChange, String>,
+    /// What is counted.
+    pub metrics: EntryMetrics,
 }
 
 /// Where a request is to go.
@@ -156,6 +159,11 @@
             && state.next.contains_key(&Stream::Progress)
     }
 
+    /// What is counted.
+    pub fn metrics(&self) -> &EntryMetrics {
+        &self.config.metrics
+    }
+
     /// The version of the configuration in force.
     pub fn version(&self) -> Option<u64> {
         self.state.borrow().directory.as_ref().map(|directory| directory.version)
@@ -169,19 +177,28 @@
         }
     }
 
-    pub(crate) async fn bounded<T>(&self, call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
-        self.limited(STORE_CALL_MS, call).await
+    pub(crate) async fn bounded<T>(
+        &self,
+        kind: &'static str,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        self.limited(kind, STORE_CALL_MS, call).await
     }
 
     async fn limited<T>(
         &self,
+        kind: &'static str,
         limit_ms: u64,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
-        match timeout(Duration::from_millis(limit_ms), call).await {
+        let asked = self.config.clock.now();
+        let answer = match timeout(Duration::from_millis(limit_ms), call).await {
             Ok(answer) => answer,
             Err(_) => Err(StoreError::Unknown(format!("none within {limit_ms} ms"))),
-        }
+        };
+        let outcome = answer.as_ref().map_or_else(StoreError::kind, |_| "ok");
+        self.config.metrics.store_calls.ended(kind, outcome, self.config.clock.now().since_ms(asked));
+        answer
     }
 
     /// Keeps the copy of a stream up to date.
@@ -240,7 +257,7 @@
             let from = self.state.borrow().next.get(&stream).copied();
             let page = match from {
                 None => self.store.newest(stream).await?,
-                Some(from) => match self.bounded(self.store.read(stream, from, 0)).await {
+                Some(from) => match self.bounded("read", self.store.read(stream, from, 0)).await {
                     Ok(page) => page,
                     Err(StoreError::Expired) => {
                         self.state.borrow_mut().next.remove(&stream);
--- a/crates/fleet/src/entry/requests.rs
+++ b/crates/fleet/src/entry/requests.rs
@@ -136,7 +136,7 @@
         let mut pause_ms = FIRST_PAUSE_MS;
         loop {
             let left_ms = deadline.since_ms(clock.now()).min(STORE_CALL_MS);
-            let error = match self.limited(left_ms, self.store.append(Stream::Jobs, &records, None)).await {
+            let error = match self.limited("append", left_ms, self.store.append(Stream::Jobs, &records, None)).await {
                 Ok(_) => {
                     self.away.set(None);
                     return Ok(());
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{Batch, Effect, HostName, JobId, Phase, Scheduler},
+    jobs::{Batch, Effect, End, HostName, JobId, Phase, Scheduler},
     units::TimeMs,
 };
 use tokio::{
@@ -16,6 +16,7 @@
 use crate::{
     entry::{EPOCHS_PER_MS, Entry, pause},
     message::{Start, ToAgent, ToLeader},
+    metrics::OutcomeLabel,
     session::{self, Leading, SessionEvent},
     store::{JobRecord, LeaderMark, LeaderRecord, Record, StoreError, Stream},
 };
@@ -84,6 +85,8 @@
     }
     let (sender, mut news) = mpsc::unbounded_channel();
     entry.set_leading(Some(sender));
+    entry.config.metrics.take_overs.inc();
+    entry.config.metrics.leading.set(1);
     let (session_events, mut said) = mpsc::unbounded_channel();
     let (stored_sender, mut stored) = mpsc::unbounded_channel();
     let mut leader = Leader::new(entry.clone(), leading.clone(), session_events, stored_sender);
@@ -118,11 +121,13 @@
         }
         leader.scheduler.tick(entry.config.clock.moment());
         leader.tell_pairs();
+        leader.count();
         if leader.storing.is_none() {
             leader.store_next();
         }
     }
     entry.set_leading(None);
+    entry.config.metrics.leading.set(0);
     if stop.is_cancelled() && leader.storing.is_none() {
         leader.resign().await;
     }
@@ -139,9 +144,11 @@
         let asked = leading.clock.now();
         let mark = |sequence| Some(LeaderMark { epoch: leading.epoch.get(), sequence });
         let fence = async {
-            entry.bounded(entry.store.append(Stream::Progress, &[], mark(0))).await?;
+            entry.bounded("append", entry.store.append(Stream::Progress, &[], mark(0))).await?;
             for records in &appends {
-                entry.bounded(entry.store.append(Stream::Progress, records, mark(TAKE_OVER_SEQUENCE))).await?;
+                entry
+                    .bounded("append", entry.store.append(Stream::Progress, records, mark(TAKE_OVER_SEQUENCE)))
+                    .await?;
             }
             Ok(())
         };
@@ -179,7 +186,7 @@
         let mut pause_ms = APPEND_PAUSE_MS;
         next = loop {
             let asked = leading.clock.now();
-            match entry.bounded(entry.store.append(Stream::Progress, records, Some(mark))).await {
+            match entry.bounded("append", entry.store.append(Stream::Progress, records, Some(mark))).await {
                 Ok(next) => {
                     leading.proof.borrow_mut().confirmed(asked);
                     break next;
@@ -371,6 +378,12 @@
                     ended.end,
                     ended.number
                 );
+                let outcome = match ended.end {
+                    End::Done => "done",
+                    End::Failed => "failed",
+                    End::Interrupted => "interrupted",
+                };
+                self.entry.config.metrics.runs_ended.get_or_create(&OutcomeLabel { outcome }).inc();
                 self.scheduler.ended(host, incarnation, &ended, now);
             }
             ToLeader::Rejected { incarnation, task, run, reason } => {
@@ -393,6 +406,12 @@
         }
     }
 
+    fn count(&self) {
+        let metrics = &self.entry.config.metrics;
+        metrics.waiting_steps.set(self.scheduler.waiting_steps() as i64);
+        metrics.hosts_connected.set(self.scheduler.connected_hosts() as i64);
+    }
+
     /// Tells agents what was learned of the images on their hosts.
     fn tell_pairs(&mut self) {
         for (host, table) in self.scheduler.pairs_to_tell(self.entry.config.clock.moment()) {
@@ -424,6 +443,7 @@
                 Effect::Start { host, incarnation, task, run, spec, checkpoint } => {
                     let Some(step) = spec.steps.get(task.step as usize) else { continue };
                     log::info!("run ordered: task={task} run={run} host={host}");
+                    self.entry.config.metrics.runs_ordered.inc();
                     let start = Start {
                         incarnation,
                         task,
@@ -438,6 +458,11 @@
                     (host, ToAgent::Start(start))
                 }
                 Effect::Stop { host, task, run } => (host, ToAgent::Stop { task, run }),
+                Effect::Move { host, task, run } => {
+                    log::info!("run moved, its image is slowed: task={task} run={run} host={host}");
+                    self.entry.config.metrics.tasks_moved.inc();
+                    (host, ToAgent::Stop { task, run })
+                }
                 Effect::Forget { host, incarnation, up_to } => (host, ToAgent::Forget { incarnation, up_to }),
             };
             self.order(&host, order);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod endpoint;
 pub mod entry;
 pub mod leader;
+pub mod logs;
 pub mod message;
+pub mod metrics;
 mod session;
 pub mod store;
--- /dev/null
+++ b/crates/fleet/src/metrics.rs
@@ -0,0 +1,139 @@
+//! The metrics of entries and agents. docs/metrics.md describes each.
+
+use std::time::Duration;
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::{Registry, Unit},
+};
+
+/// The first bound of the latency histograms in seconds, and how many there are, each twice the one before: 0.5 ms to 8 s.
+const FIRST_BUCKET_S: f64 = 0.000_5;
+const BUCKETS: u16 = 15;
+
+/// What was asked, and what became of it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// The kind of request or call.
+    pub kind: &'static str,
+    /// What became of it.
+    pub outcome: &'static str,
+}
+
+/// How something ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabel {
+    /// How.
+    pub outcome: &'static str,
+}
+
+/// A counter and a latency histogram of the same kinds of calls.
+#[derive(Debug, Clone)]
+pub struct Calls {
+    count: Family<OutcomeLabels, Counter>,
+    latency: Family<OutcomeLabels, Histogram>,
+}
+
+impl Default for Calls {
+    fn default() -> Self {
+        let latency = Family::new_with_constructor(
+            (|| Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))) as fn() -> Histogram,
+        );
+        Self { count: Family::default(), latency }
+    }
+}
+
+impl Calls {
+    /// Counts a call.
+    pub fn ended(&self, kind: &'static str, outcome: &'static str, took_ms: u64) {
+        let labels = OutcomeLabels { kind, outcome };
+        self.count.get_or_create(&labels).inc();
+        self.latency.get_or_create(&labels).observe(Duration::from_millis(took_ms).as_secs_f64());
+    }
+
+    /// How many calls of a kind had an outcome.
+    pub fn count(&self, kind: &'static str, outcome: &'static str) -> u64 {
+        self.count.get_or_create(&OutcomeLabels { kind, outcome }).get()
+    }
+
+    fn register(&self, name: &str, help: &str, registry: &mut Registry) {
+        registry.register(name, help, self.count.clone());
+        registry.register_with_unit(format!("{name}_latency"), help, Unit::Seconds, self.latency.clone());
+    }
+}
+
+/// The metrics of an entry.
+#[derive(Debug, Clone, Default)]
+#[allow(missing_docs, reason = "the help texts describe each metric")]
+pub struct EntryMetrics {
+    pub requests: Calls,
+    pub store_calls: Calls,
+    pub leading: Gauge,
+    pub take_overs: Counter,
+    pub runs_ordered: Counter,
+    pub runs_ended: Family<OutcomeLabel, Counter>,
+    pub tasks_moved: Counter,
+    pub waiting_steps: Gauge,
+    pub hosts_connected: Gauge,
+    pub config_version: Gauge,
+}
+
+impl EntryMetrics {
+    /// The metrics as text in the OpenMetrics format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be formatted.
+    pub fn text(&self) -> Result<String, std::fmt::Error> {
+        let mut r = Registry::with_prefix("fescuelead");
+        self.requests.register("requests", "Requests of clients, by kind and outcome", &mut r);
+        self.store_calls.register("store_calls", "Calls to the platform's store, by kind and outcome", &mut r);
+        r.register("leading", "Whether this entry decides for all hosts", self.leading.clone());
+        r.register("take_overs", "How often this entry began to lead", self.take_overs.clone());
+        r.register("runs_ordered", "Runs that this entry ordered as the leader", self.runs_ordered.clone());
+        r.register("runs_ended", "Ends of runs that this entry was told of as the leader", self.runs_ended.clone());
+        r.register("tasks_moved", "Slowed tasks that were stopped to go on elsewhere", self.tasks_moved.clone());
+        r.register("waiting_steps", "Steps with tasks that wait for a host", self.waiting_steps.clone());
+        r.register("hosts_connected", "Hosts with a session of this leader", self.hosts_connected.clone());
+        r.register("config_version", "Version of the configuration in force here", self.config_version.clone());
+        encode(&r)
+    }
+}
+
+/// The metrics of an agent.
+#[derive(Debug, Clone, Default)]
+#[allow(missing_docs, reason = "the help texts describe each metric")]
+pub struct AgentMetrics {
+    pub endpoint_calls: Calls,
+    pub running: Gauge,
+    pub paced_images: Gauge,
+    pub sessions: Counter,
+}
+
+impl AgentMetrics {
+    /// The metrics as text in the OpenMetrics format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be formatted.
+    pub fn text(&self) -> Result<String, std::fmt::Error> {
+        let mut r = Registry::with_prefix("fescuelead");
+        self.endpoint_calls.register("endpoint_calls", "Calls to the endpoint, by kind and outcome", &mut r);
+        r.register("running_tasks", "Tasks that the endpoint runs", self.running.clone());
+        r.register("paced_images", "Images of background tasks that are slowed here", self.paced_images.clone());
+        r.register("leader_sessions", "Sessions that leaders opened", self.sessions.clone());
+        encode(&r)
+    }
+}
+
+fn encode(registry: &Registry) -> Result<String, std::fmt::Error> {
+    let mut buffer = String::new();
+    text::encode(&mut buffer, registry)?;
+    Ok(buffer)
+}
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -71,6 +71,18 @@
     Expired,
 }
 
+impl StoreError {
+    /// The kind, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::NotDone(_) => "not-done",
+            Self::Unknown(_) => "unknown",
+            Self::Fenced => "fenced",
+            Self::Expired => "expired",
+        }
+    }
+}
+
 /// The platform's store.
 #[async_trait(?Send)]
 pub trait Store {
--- a/crates/fleet/tests/agent.rs
+++ b/crates/fleet/tests/agent.rs
@@ -12,6 +12,7 @@
     agent::Agent,
     clock::Clock,
     message::{self, Start, ToAgent, ToLeader},
+    metrics::AgentMetrics,
 };
 use support::MemoryEndpoint;
 use tokio::{
@@ -83,7 +84,13 @@
 /// An agent beside an endpoint, not yet met by a leader.
 async fn agent(endpoint: &MemoryEndpoint) -> Rc<Agent> {
     let clock = Clock::Runtime { start: Instant::now(), unix_ms: 1_700_000_000_000 };
-    let agent = Agent::new("host-a".to_owned(), Box::new(endpoint.clone()), LeasePlan::new(6_000), clock);
+    let agent = Agent::new(
+        "host-a".to_owned(),
+        Box::new(endpoint.clone()),
+        LeasePlan::new(6_000),
+        clock,
+        AgentMetrics::default(),
+    );
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     spawn_local(agent.clone().run(listener, CancellationToken::new()));
     agent.announced(Some(1), info());
@@ -283,7 +290,8 @@
         let endpoint = MemoryEndpoint::default();
         endpoint.silent.set(true);
         let clock = Clock::Runtime { start: Instant::now(), unix_ms: 0 };
-        let agent = Agent::new("host-a".to_owned(), Box::new(endpoint), LeasePlan::new(6_000), clock);
+        let agent =
+            Agent::new("host-a".to_owned(), Box::new(endpoint), LeasePlan::new(6_000), clock, AgentMetrics::default());
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let stop = CancellationToken::new();
         let running = spawn_local(agent.run(listener, stop.clone()));
--- a/crates/fleet/tests/leadership.rs
+++ b/crates/fleet/tests/leadership.rs
@@ -9,6 +9,7 @@
     clock::Clock,
     directory::{Directory, OperatorChange, Route},
     entry::{Entry, EntryConfig, Lookup, RequestError},
+    metrics::EntryMetrics,
     store::{JobRecord, LeaderRecord, Record, Stream},
 };
 use support::MemoryStore;
@@ -50,6 +51,7 @@
         plan: LeasePlan::new(6_000),
         clock: Clock::Runtime { start: started, unix_ms: 1_700_000_000_000 },
         read_operator,
+        metrics: EntryMetrics::default(),
     };
     let entry = Entry::new(config, Box::new(store.clone()));
     let stop = CancellationToken::new();
