--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -113,6 +113,7 @@
     leading: Cell<bool>,
     leading_changed: Notify,
     away: Cell<Option<Away>>,
+    store_away: Notify,
     /// Jobs whose submission had no known outcome, and when.
     unknown: RefCell<BTreeMap<JobId, TimeMs>>,
 }
@@ -132,6 +133,7 @@
             leading: Cell::new(false),
             leading_changed: Notify::new(),
             away: Cell::new(None),
+            store_away: Notify::new(),
             unknown: RefCell::default(),
         })
     }
@@ -143,6 +145,7 @@
         for stream in streams {
             spawn_local(self.clone().follow(stream));
         }
+        spawn_local(self.clone().try_store());
         self.clone().take_part(stop).await;
     }
 
--- a/crates/fleet/src/entry/requests.rs
+++ b/crates/fleet/src/entry/requests.rs
@@ -1,9 +1,12 @@
 //! What clients ask of an entry, and what they are told while the store is away.
 
+use std::{rc::Rc, time::Duration};
+
 use fescuelead_core::{
     jobs::{JobId, JobSpec, JobStatus, replica::JobCopy},
     units::TimeMs,
 };
+use tokio::time::sleep;
 
 use super::{Entry, FIRST_PAUSE_MS, STORE_CALL_MS, pause};
 use crate::{
@@ -15,8 +18,7 @@
 const AWAY_MS: u64 = 300;
 /// For how long a submission without an answer may still take effect, in milliseconds: five times what the platform states.
 const UNKNOWN_MS: u64 = 60_000;
-/// While the store is away, one request in this time tries it, in milliseconds: it finds out soon that the store is back,
-/// and few clients wait in vain.
+/// The pause between two reads that find out whether the store is back, in milliseconds.
 const TRIAL_SPACING_MS: u64 = 300;
 
 /// Why a request of a client was not carried out.
@@ -34,8 +36,6 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Away {
     since: TimeMs,
-    /// When a client's request last tried all the same.
-    tried: TimeMs,
 }
 
 impl Entry {
@@ -120,16 +120,28 @@
         self.state.borrow().replica.pending(queue)
     }
 
-    /// Appends a client's record, and repeats this while the outcome is unknown and there is time. While the store is away,
-    /// only some requests try; the others are refused at once.
+    /// Finds out when the store is back, by reads, which unlike a client's request do no harm if their answers are lost.
+    pub(super) async fn try_store(self: Rc<Self>) {
+        loop {
+            self.store_away.notified().await;
+            while self.away.get().is_some() {
+                sleep(Duration::from_millis(TRIAL_SPACING_MS)).await;
+                if let Err(error) = self.catch_up(Stream::Jobs).await {
+                    log::debug!("store still away: error={error}");
+                } else {
+                    self.away.set(None);
+                }
+            }
+        }
+    }
+
+    /// Appends a client's record, and repeats this while the outcome is unknown and there is time. Refuses at once while the
+    /// store is away.
     async fn append_request(&self, record: Record, deadline: TimeMs) -> Result<(), RequestError> {
         let clock = self.config.clock;
-        if let Some(away) = self.away.get().filter(|away| clock.now().since_ms(away.since) >= AWAY_MS) {
-            if clock.now().since_ms(away.tried) < TRIAL_SPACING_MS {
-                let since_ms = clock.now().since_ms(away.since);
-                return Err(RequestError::NotDone(format!("the store has been away for {since_ms} ms")));
-            }
-            self.away.set(Some(Away { tried: clock.now(), ..away }));
+        let away_ms = self.away.get().map_or(0, |away| clock.now().since_ms(away.since));
+        if away_ms >= AWAY_MS {
+            return Err(RequestError::NotDone(format!("the store has been away for {away_ms} ms")));
         }
         let records = [record];
         let mut unknown = None;
@@ -161,7 +173,8 @@
     fn note_away(&self) -> bool {
         let now = self.config.clock.now();
         let since = self.away.get().map_or(now, |away| away.since);
-        self.away.set(Some(Away { since, tried: now }));
+        self.away.set(Some(Away { since }));
+        self.store_away.notify_one();
         now.since_ms(since) >= AWAY_MS
     }
 }
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -64,6 +64,8 @@
     /// What is being stored.
     storing: Option<Batch>,
     stored: mpsc::UnboundedSender<Result<u64, StoreError>>,
+    /// The latest task that stores records. One that has lost its leader would try for as long as the store is away.
+    appending: Option<JoinHandle<()>>,
     /// When the leader last showed that it lives.
     signed_at: TimeMs,
 }
@@ -71,6 +73,9 @@
 impl Drop for Leader {
     fn drop(&mut self) {
         self.sessions.values().for_each(|session| session.task.abort());
+        if let Some(appending) = &self.appending {
+            appending.abort();
+        }
     }
 }
 
@@ -270,6 +275,7 @@
             sequence: TAKE_OVER_SEQUENCE,
             storing: None,
             stored,
+            appending: None,
             // The first records show the others who leads.
             signed_at: TimeMs::default(),
         }
@@ -290,13 +296,14 @@
         let first = self.sequence + 1;
         self.sequence += appends.len() as u64;
         let (entry, leading, stored) = (self.entry.clone(), self.leading.clone(), self.stored.clone());
-        spawn_local(async move {
+        let appending = spawn_local(async move {
             let outcome = store(&entry, &leading, first, &appends).await;
             if stored.send(outcome).is_err() {
                 log::debug!("the leader stopped while records were being stored");
             }
         });
         self.storing = Some(batch);
+        self.appending = Some(appending);
     }
 
     /// Tells the other entries that one of them should lead.
