Learn pairs of images without forgetting after a surprise

Cause: the filter makes a pair uncertain again after a change that is three standard deviations off, and believed changes of any size. Near saturation a latency grows tenfold, so one such change carried a pair far away. Change: no such boost for pairs of images, and changes are cut at a factor of e.

--- a/crates/core/src/jobs/disturbance.rs
+++ b/crates/core/src/jobs/disturbance.rs
@@ -26,6 +26,9 @@
 /// The standard deviation of the change of a tail latency between two readings without any cause: readings are rough, and the
 /// load of the serving task changes as well.
 const READING_NOISE: f32 = 0.25;
+/// The largest change of the logarithm that is believed. A larger one shows that the host is saturated, and not by how much an
+/// image disturbs where it is not.
+const LARGEST_GROWTH: f32 = 1.0;
 /// The time in which a pair that is known for certain becomes as uncertain as one that was never seen. Disturbance changes
 /// within seconds, by less than pairs differ from each other.
 const FORGET_MS: u64 = 300_000;
@@ -79,6 +82,9 @@
             prior: UNSEEN,
             noise: READING_NOISE,
             forget_ms: FORGET_MS,
+            // A pair that is forgotten after each surprise follows the noise: with 3 standard deviations the next changes were
+            // predicted worse.
+            surprise: f32::INFINITY,
             ..InterferenceSettings::default()
         });
         Self { images: Classes::new(), pairs }
@@ -92,7 +98,8 @@
             .iter()
             .map(|(image, share_milli)| (self.image(image), *share_milli as f32 / 1_000.0))
             .collect();
-        self.pairs.observe_change(serving, &shares, change.growth_milli as f32 / 1_000.0, now);
+        let growth = (change.growth_milli as f32 / 1_000.0).clamp(-LARGEST_GROWTH, LARGEST_GROWTH);
+        self.pairs.observe_change(serving, &shares, growth, now);
     }
 
     /// Takes over what an agent remembers of pairs that this process has not seen together.
