--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -296,6 +296,9 @@
             }
         }
         state.next.insert(stream, page.next);
+        if let Some(directory) = &state.directory {
+            self.config.metrics.config_version.set(directory.version as i64);
+        }
         if stream == Stream::Progress && !self.leading.get() && state.leader_name == self.config.name {
             // The latest leader was an earlier life of this entry, or this entry before it stopped leading.
             state.resigned = true;
--- a/crates/fleet/tests/agent.rs
+++ b/crates/fleet/tests/agent.rs
@@ -5,7 +5,11 @@
 use std::{rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{End, Ended, HostInfo, JobId, Rejection, TaskRef, lease::LeasePlan},
+    jobs::{
+        End, Ended, HostInfo, JobId, Rejection, TaskRef,
+        disturbance::{Pair, PairTable},
+        lease::LeasePlan,
+    },
     units::Resources,
 };
 use fescuelead_fleet::{
@@ -284,6 +288,25 @@
     .await;
 }
 
+/// A new leader would run heavy images beside the tasks that suffer from them until it had learned of them again.
+#[tokio::test(start_paused = true)]
+async fn what_a_leader_learned_of_images_is_given_to_the_next() {
+    within(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = agent(&endpoint).await;
+        let mut first = Leader::connect(&agent, 1).await;
+        first.hear(600).await;
+        let pair = Pair { background: "render".to_owned(), serving: "web".to_owned() };
+        let learned = PairTable::from([(pair, 4_200)]);
+        first.say(ToAgent::Pairs(learned.clone())).await;
+        first.hear(100).await;
+        let mut second = Leader::connect(&agent, 2).await;
+        let heard = second.hear(600).await;
+        assert!(heard.contains(&ToLeader::Remembered(learned)), "{heard:?}");
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_planned_stop_ends_soon() {
     within(async {
