--- a/crates/core/src/jobs/pace.rs
+++ b/crates/core/src/jobs/pace.rs
@@ -48,6 +48,9 @@
 /// How long they then run freely, in milliseconds.
 const FREE_MS: u64 = 1_500;
 
+/// Beyond so many pairs those are forgotten whose images are not on the host. A host runs tens of images at a time.
+const MAX_PAIRS: usize = 1_024;
+
 /// By how much the logarithm of the tail latency of each serving image may grow by background tasks until it reaches the
 /// goal, in thousandths.
 pub type Headroom = BTreeMap<String, i32>;
@@ -165,6 +168,11 @@
     /// The leader has learned of pairs.
     pub fn learned(&mut self, table: PairTable) {
         self.table.extend(table);
+        if self.table.len() > MAX_PAIRS {
+            self.table.retain(|pair, _| {
+                self.last_used.contains_key(&pair.background) || self.own.contains_key(&pair.serving)
+            });
+        }
     }
 
     /// Takes the readings of all tasks on a host with so many processors. Linear in the tasks, and in the pairs of their
@@ -200,7 +208,8 @@
             let percent = self.percent(&reading.image);
             let wanted_milli = if percent >= EXTRAPOLATED_PERCENT && reading.used_cpu_milli > 0 {
                 // What is asked for is far off; a task uses up to twice of it.
-                (reading.used_cpu_milli * 100 / u32::from(percent)).min(reading.wanted_cpu_milli * 2)
+                let extrapolated_milli = reading.used_cpu_milli.saturating_mul(100) / u32::from(percent);
+                extrapolated_milli.min(reading.wanted_cpu_milli.saturating_mul(2))
             } else {
                 reading.wanted_cpu_milli
             };
--- a/crates/core/src/jobs/scheduler/placing.rs
+++ b/crates/core/src/jobs/scheduler/placing.rs
@@ -142,11 +142,14 @@
             let failed_on = self.jobs.get(&task.job).and_then(|job| job.failed_on.get(task));
             let best = candidates.iter().enumerate().max_by_key(|(_, candidate)| candidate.score(failed_on));
             let best = best.map(|(index, candidate)| (Some(index), candidate.host.clone()));
-            let anyway = || {
-                let compared_with_all = changed.is_none();
-                compared_with_all.then(|| self.slow_host(task, wanted, idle, nth == 0, now))?.map(|host| (None, host))
+            let (index, host) = match best {
+                Some(best) => best,
+                None if changed.is_some() => break,
+                None => match self.slow_host(task, wanted, idle, nth == 0, now) {
+                    Some(host) => (None, host),
+                    None => break,
+                },
             };
-            let Some((index, host)) = best.or_else(anyway) else { break };
             self.assign(task, run + 1, host.clone(), spec);
             if let Some(index) = index {
                 match self.candidate(&host, task, wanted, now) {
@@ -160,12 +163,15 @@
     /// A host for a background task that no host lets run at the least speed: for the first task of a job of which nothing runs,
     /// or while most of the service is free.
     fn slow_host(&self, task: &TaskRef, wanted: &Wanted<'_>, idle: bool, first: bool, now: TimeMs) -> Option<HostName> {
-        let mostly_free = wanted.step.background && self.is_mostly_free(wanted.service);
-        if !wanted.step.background || !(mostly_free || (idle && first)) {
+        if !wanted.step.background {
+            return None;
+        }
+        let starts_idle_job = idle && first;
+        if !starts_idle_job && !self.is_mostly_free(wanted.service) {
             return None;
         }
         let host = self.best_host(task, &wanted.with_least_speed(0), now)?;
-        ((idle && first) || self.hosts[&host].has_uncommitted(wanted.step)).then_some(host)
+        (starts_idle_job || self.hosts[&host].has_uncommitted(wanted.step)).then_some(host)
     }
 
     /// A host that can take a task, and how good it is.
--- a/crates/core/tests/disturbance.rs
+++ b/crates/core/tests/disturbance.rs
@@ -213,6 +213,34 @@
     assert!(busy.decide(&mut pacer, 2).changes.is_empty());
 }
 
+/// Images come and go with each release of a service, and an agent runs for months.
+#[test]
+fn pairs_of_images_that_are_gone_are_forgotten() {
+    let mut pacer = told(&[("heavy", 6_000)]);
+    Host { own_ms: 60.0, background: vec![("heavy", 6.0)] }.decide(&mut pacer, 0);
+    for release in 0..5_000 {
+        let gone = pair(&format!("release-{release}"), &format!("service-{release}"));
+        pacer.learned(PairTable::from([(gone, 1_000)]));
+    }
+    assert!(pacer.table().len() <= 1_024, "{}", pacer.table().len());
+    assert_eq!(pacer.table().get(&pair("heavy", "web")), Some(&6_000));
+}
+
+/// Readings come from outside; a wrong one must not end the agent.
+#[test]
+fn absurd_readings_are_survived() {
+    let mut pacer = Pacer::new();
+    let task = TaskRef { job: JobId(1), occurrence: 0, step: 0, index: 0 };
+    for decision in 1..6 {
+        let odd = u32::MAX * (decision % 2);
+        let serving = [ServingReading { task, image: "web".to_owned(), tail_ms: odd, target_ms: 0 }];
+        let background =
+            [BackgroundReading { image: "odd".to_owned(), used_cpu_milli: odd, wanted_cpu_milli: u32::MAX }];
+        pacer.observe(HOST_CPU_MILLI, &serving, &background, TimeMs(u64::from(decision) * DECISION_MS));
+        assert!(pacer.percent("odd") <= 100);
+    }
+}
+
 fn at(ms: u64) -> Moment {
     Moment { at: TimeMs(1_000_000 + ms), unix_ms: 1_700_000_000_000 + ms }
 }
--- /dev/null
+++ b/crates/fleet/src/agent/pacing.rs
@@ -0,0 +1,72 @@
+//! The pace of background tasks beside tasks that serve users.
+
+use std::rc::Rc;
+
+use fescuelead_core::{
+    jobs::{
+        TaskRef,
+        pace::{BackgroundReading, ServingReading},
+    },
+    units::TimeMs,
+};
+use tokio::task::spawn_local;
+
+use super::{ANSWER_MS, Agent, State};
+use crate::message::ToLeader;
+
+impl Agent {
+    /// Slows background tasks while tasks that serve users are too slow.
+    pub(super) fn pace(self: &Rc<Self>, state: &mut State, now: TimeMs) {
+        let Some(host_cpu_milli) = state.info.as_ref().map(|info| info.capacity.cpu_milli) else { return };
+        let State { pacer, orders, running, .. } = state;
+        let (mut serving, mut background) = (Vec::new(), Vec::new());
+        for (&task, order) in orders.iter() {
+            let Some(running) = running.get(&task).filter(|running| running.run == order.run) else { continue };
+            let image = order.image.clone().unwrap_or_default();
+            if let Some(target_ms) = order.tail_target_ms {
+                serving.push(ServingReading { task, image, tail_ms: running.reading, target_ms });
+            } else if order.background {
+                let (used_cpu_milli, wanted_cpu_milli) = (running.reading, order.cpu_milli);
+                background.push(BackgroundReading { image, used_cpu_milli, wanted_cpu_milli });
+            }
+        }
+        let findings = pacer.observe(host_cpu_milli, &serving, &background, now);
+        self.metrics.running.set(running.len() as i64);
+        if let Some(paces) = &findings.paces {
+            self.metrics.paced_images.set(paces.values().filter(|percent| **percent < 100).count() as i64);
+            log::info!(
+                "background tasks paced: host={} percent={paces:?} headroom_milli={:?}",
+                self.name,
+                pacer.headroom()
+            );
+        }
+        for (&task, order) in orders.iter_mut() {
+            let there = running.get(&task).is_some_and(|running| running.run == order.run);
+            let percent = pacer.percent(order.image.as_deref().unwrap_or_default());
+            if order.background && there && !order.stopping && order.paced != percent {
+                order.paced = percent;
+                spawn_local(self.clone().set_pace(task, order.run, percent));
+            }
+        }
+        if !findings.changes.is_empty() {
+            state.tell(ToLeader::Changes(findings.changes));
+        }
+        if let Some(paces) = findings.paces {
+            state.tell(ToLeader::Paces(paces));
+        }
+        if let Some(headroom) = findings.headroom {
+            state.tell(ToLeader::Headroom(headroom));
+        }
+    }
+
+    async fn set_pace(self: Rc<Self>, task: TaskRef, run: u32, percent: u8) {
+        let token = self.state.borrow().token;
+        if let Err(error) = self.call("pace", ANSWER_MS, self.endpoint.pace(token, task, run, percent)).await {
+            log::warn!("pace unanswered: task={task} run={run} host={} error={error}", self.name);
+            // An impossible share makes the next report send the pace again.
+            if let Some(order) = self.state.borrow_mut().orders.get_mut(&task) {
+                order.paced = u8::MAX;
+            }
+        }
+    }
+}
