--- a/crates/core/src/jobs/disturbance.rs
+++ b/crates/core/src/jobs/disturbance.rs
@@ -26,7 +26,7 @@
 /// The standard deviation of the change of a tail latency between two readings without any cause: readings are rough, and the
 /// load of the serving task changes as well.
 const READING_NOISE: f32 = 0.25;
-/// The largest change of the logarithm that is believed. A larger one shows that the host is saturated, and not by how much an
+/// Larger changes of the logarithm are cut to this. A larger one shows that the host is saturated, and not by how much an
 /// image disturbs where it is not.
 const LARGEST_GROWTH: f32 = 1.0;
 /// The time in which a pair that is known for certain becomes as uncertain as one that was never seen. Disturbance changes
--- a/crates/core/src/jobs/pace.rs
+++ b/crates/core/src/jobs/pace.rs
@@ -2,12 +2,12 @@
 How far background tasks are slowed for the sake of the tasks that serve beside them.
 
 What background tasks add to a tail latency is estimated from what they use and from the table of pairs that the leader has
-learned (see [`disturbance`](super::disturbance)); the rest is the serving task's own. What is left between its own latency and the goal
-is its headroom. Each background image runs at full speed unless a headroom is exceeded; then the images that disturb most
+learned (see [`disturbance`](super::disturbance)); the rest is the undisturbed latency of the serving task. What is left between that and
+the goal is its headroom. Each background image runs at full speed unless a headroom is exceeded; then the images that disturb most
 for the processors they use are slowed first, as that costs the least work.
 
 The table can be wrong, so two rules do without it. A latency that stays above its target stops all background tasks. A
-latency that stays above it while they stand still is not their doing; they then run for a while, as pausing them helps
+latency that stays above it while they are paused is not their effect; they then run for a while, as pausing them helps
 nobody.
 */
 
@@ -24,9 +24,10 @@
 const GOAL_PERCENT: f32 = 80.0;
 /// The time between two decisions in milliseconds; readings cover half a second.
 const SPACING_MS: u64 = 500;
-/// How much of a change of a serving task's own latency is believed at once, if it is worse and if it is better, in percent.
-const WORSE_BELIEVED_PERCENT: f32 = 85.0;
-const BETTER_BELIEVED_PERCENT: f32 = 50.0;
+/// The weight of a new reading in the smoothed latency of a serving image, in percent, if it is higher and if it is lower. A rise
+/// counts more, since a late reaction to it is paid by users.
+const RISE_WEIGHT_PERCENT: f32 = 85.0;
+const FALL_WEIGHT_PERCENT: f32 = 50.0;
 /// Shares below this become 0, in percent.
 const LEAST_PERCENT: u8 = 10;
 /// Smaller changes of a share are not worth a call, in percent points.
@@ -40,14 +41,13 @@
 /// Below this share an image's full use is not worked out from what it uses, in percent.
 const EXTRAPOLATED_PERCENT: u8 = 25;
 /// After this many decisions in a row above its target, a serving task stops all background tasks beside it. Together with
-/// the standstill and the free run that follow it is less than the time for which the platform lets it suffer, 4 s.
-const LOST_PATIENCE: u32 = 3;
-/// How long background tasks stand still until a latency above the target is not put down to them, in milliseconds: two
+/// the pause and the release that follow it is less than the time for which the platform lets it suffer, 4 s.
+const STOP_AFTER_DECISIONS: u32 = 3;
+/// How long background tasks are paused until a latency above the target is not attributed to them, in milliseconds: two
 /// readings.
-const STANDSTILL_MS: u64 = 1_000;
-/// How long they then run freely, in milliseconds.
-const FREE_MS: u64 = 1_500;
-
+const PAUSE_MS: u64 = 1_000;
+/// How long they then run at full speed, in milliseconds.
+const RELEASE_MS: u64 = 1_500;
 /// Beyond so many pairs those are forgotten whose images are not on the host. A host runs tens of images at a time.
 const MAX_PAIRS: usize = 1_024;
 
@@ -100,15 +100,15 @@
     wanted: f32,
 }
 
-/// Whether a serving task suffers, and what was tried.
+/// How long a latency has been above its target, and what was done about it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Strain {
-    /// So many decisions in a row were above a target.
-    Counting(u32),
-    /// All background tasks stand still since then.
-    Standstill { since: TimeMs },
-    /// Background tasks are not the cause; they run freely until then.
-    Free { until: TimeMs },
+enum TargetState {
+    /// It was above at so many decisions in a row; 0 if it is not.
+    Above(u32),
+    /// All background tasks are paused since then.
+    Paused { since: TimeMs },
+    /// Background tasks are not the cause; they run at full speed until then.
+    Released { until: TimeMs },
 }
 
 /// The shares of background images on one host.
@@ -117,8 +117,8 @@
     table: PairTable,
     percents: Paces,
     /// The logarithm of the latency of each serving image over its target, less what background tasks add.
-    own: BTreeMap<String, f32>,
-    strain: Strain,
+    undisturbed: BTreeMap<String, f32>,
+    target_state: TargetState,
     next: TimeMs,
     last_tails: BTreeMap<TaskRef, u32>,
     last_used: BTreeMap<String, f32>,
@@ -131,8 +131,8 @@
         Self {
             table: PairTable::new(),
             percents: Paces::new(),
-            own: BTreeMap::new(),
-            strain: Strain::Counting(0),
+            undisturbed: BTreeMap::new(),
+            target_state: TargetState::Above(0),
             next: TimeMs::default(),
             last_tails: BTreeMap::new(),
             last_used: BTreeMap::new(),
@@ -170,7 +170,7 @@
         self.table.extend(table);
         if self.table.len() > MAX_PAIRS {
             self.table.retain(|pair, _| {
-                self.last_used.contains_key(&pair.background) || self.own.contains_key(&pair.serving)
+                self.last_used.contains_key(&pair.background) || self.undisturbed.contains_key(&pair.serving)
             });
         }
     }
@@ -190,12 +190,12 @@
         self.next = now.plus_ms(SPACING_MS);
         let shares = self.shares(host_cpu_milli, background);
         let changes = self.changes(serving, &shares);
-        let worst = self.update_own(serving, &shares);
-        self.strain = self.next_strain(worst, now);
-        let percents = match self.strain {
-            Strain::Counting(_) => self.plan(&shares),
-            Strain::Standstill { .. } => shares.keys().map(|image| (image.clone(), 0)).collect(),
-            Strain::Free { .. } => Paces::new(),
+        let worst = self.update_undisturbed(serving, &shares);
+        self.target_state = self.next_target_state(worst, now);
+        let percents = match self.target_state {
+            TargetState::Above(_) => self.plan(&shares),
+            TargetState::Paused { .. } => shares.keys().map(|image| (image.clone(), 0)).collect(),
+            TargetState::Released { .. } => Paces::new(),
         };
         let paces = (percents != self.percents).then(|| percents.clone());
         self.percents = percents;
@@ -256,50 +256,52 @@
             .collect()
     }
 
-    /// Follows the serving images' own latencies. Returns the logarithm of the worst latency over its target.
-    fn update_own(&mut self, serving: &[ServingReading], shares: &BTreeMap<String, Shares>) -> f32 {
+    /// Smooths the latencies that serving images would have without background tasks. Returns the logarithm of the worst latency over its target.
+    fn update_undisturbed(&mut self, serving: &[ServingReading], shares: &BTreeMap<String, Shares>) -> f32 {
         let mut levels = BTreeMap::<&str, f32>::new();
         for reading in serving.iter().filter(|reading| reading.tail_ms > 0) {
             let level = (reading.tail_ms as f32 / reading.target_ms.max(1) as f32).ln();
             let worst = levels.entry(&reading.image).or_insert(level);
             *worst = worst.max(level);
         }
-        self.own.retain(|image, _| levels.contains_key(image.as_str()));
+        self.undisturbed.retain(|image, _| levels.contains_key(image.as_str()));
         let mut worst = f32::NEG_INFINITY;
         for (image, level) in levels {
             worst = worst.max(level);
             let added: f32 = shares.iter().map(|(by, share)| self.growth(by, image) * share.used).sum();
-            let own = self.own.entry(image.to_owned()).or_insert(level - added);
-            let change = level - added - *own;
-            let believed = if change > 0.0 { WORSE_BELIEVED_PERCENT } else { BETTER_BELIEVED_PERCENT };
-            *own += change * believed / 100.0;
+            let undisturbed = self.undisturbed.entry(image.to_owned()).or_insert(level - added);
+            let change = level - added - *undisturbed;
+            let weight_percent = if change > 0.0 { RISE_WEIGHT_PERCENT } else { FALL_WEIGHT_PERCENT };
+            *undisturbed += change * weight_percent / 100.0;
         }
         worst
     }
 
-    fn next_strain(&self, worst: f32, now: TimeMs) -> Strain {
+    fn next_target_state(&self, worst: f32, now: TimeMs) -> TargetState {
         let above = worst > 0.0;
-        match self.strain {
-            Strain::Free { until } if now < until => self.strain,
-            Strain::Standstill { since } if above => {
-                if now.since_ms(since) >= STANDSTILL_MS {
-                    Strain::Free { until: now.plus_ms(FREE_MS) }
+        match self.target_state {
+            TargetState::Released { until } if now < until => self.target_state,
+            TargetState::Paused { since } if above => {
+                if now.since_ms(since) >= PAUSE_MS {
+                    TargetState::Released { until: now.plus_ms(RELEASE_MS) }
                 } else {
-                    self.strain
+                    self.target_state
                 }
             }
-            Strain::Counting(count) if above && count + 1 >= LOST_PATIENCE => Strain::Standstill { since: now },
-            Strain::Counting(count) if above => Strain::Counting(count + 1),
-            Strain::Free { .. } if above => Strain::Counting(1),
-            _ => Strain::Counting(0),
+            TargetState::Above(count) if above && count + 1 >= STOP_AFTER_DECISIONS => {
+                TargetState::Paused { since: now }
+            }
+            TargetState::Above(count) if above => TargetState::Above(count + 1),
+            TargetState::Released { .. } if above => TargetState::Above(1),
+            _ => TargetState::Above(0),
         }
     }
 
     /// The largest shares that keep each serving image within its headroom.
     fn plan(&self, shares: &BTreeMap<String, Shares>) -> Paces {
         let mut percents: BTreeMap<&str, f32> = shares.keys().map(|image| (image.as_str(), 100.0)).collect();
-        for (serving, own) in &self.own {
-            let headroom = (headroom(*own)).max(0.0);
+        for (serving, undisturbed) in &self.undisturbed {
+            let headroom = headroom(*undisturbed).max(0.0);
             let mut by: Vec<_> = shares
                 .iter()
                 .map(|(image, share)| (image.as_str(), self.growth(image, serving), share.wanted))
@@ -339,8 +341,11 @@
     }
 
     fn changed_headroom(&mut self) -> Option<Headroom> {
-        let headroom: Headroom =
-            self.own.iter().map(|(image, own)| (image.clone(), (headroom(*own) * 1_000.0) as i32)).collect();
+        let headroom: Headroom = self
+            .undisturbed
+            .iter()
+            .map(|(image, level)| (image.clone(), (headroom(*level) * 1_000.0) as i32))
+            .collect();
         let alike = headroom.len() == self.reported.len()
             && headroom.iter().all(|(image, milli)| {
                 self.reported.get(image).is_some_and(|before| before.abs_diff(*milli) < REPORTED_CHANGE_MILLI as u32)
@@ -353,9 +358,9 @@
     }
 }
 
-/// What may be added to the logarithm of a latency that is `own` over its target.
-fn headroom(own: f32) -> f32 {
-    (GOAL_PERCENT / 100.0).ln() - own
+/// What may be added to the logarithm of a latency over its target that is `undisturbed` without background tasks.
+fn headroom(undisturbed: f32) -> f32 {
+    (GOAL_PERCENT / 100.0).ln() - undisturbed
 }
 
 impl Default for Pacer {
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -126,7 +126,7 @@
         }
         leader.scheduler.tick(entry.config.clock.moment());
         leader.tell_pairs();
-        leader.count();
+        leader.set_gauges();
         if leader.storing.is_none() {
             leader.store_next();
         }
@@ -413,7 +413,8 @@
         }
     }
 
-    fn count(&self) {
+    /// Brings the gauges up to date.
+    fn set_gauges(&self) {
         let metrics = &self.entry.config.metrics;
         metrics.waiting_steps.set(self.scheduler.waiting_steps() as i64);
         metrics.hosts_connected.set(self.scheduler.connected_hosts() as i64);
@@ -427,6 +428,7 @@
         }
     }
 
+    /// Sends an order to an agent. One that does not arrive is given again when the host has reported what it runs.
     fn order(&self, host: &HostName, order: ToAgent) {
         let session = self.sessions.get(host);
         if session.is_none_or(|session| session.orders.send(order).is_err()) {
