Skip odd records of other writers, and drop late messages of a replaced leader

Cause: operators of similar systems reported processes that ended or stopped following a list because of one odd entry in it, and orders of two leaders around a hand-over. A leader that was paused still had orders carried out after its successor had opened a session with the agent.

Change: host records are parsed to socket addresses, submissions are validated and numbers are bounded when they are decoded; what is refused is logged with its key and counted (fescuelead_records_skipped_total), and the earlier record of the key stays in force. A task may request 1,024 cores at most. An agent closes the session of a leader once a later one has opened its own.

--- a/crates/core/src/jobs/progress.rs
+++ b/crates/core/src/jobs/progress.rs
@@ -5,6 +5,10 @@
     spec::{JobSpec, TaskRef},
 };
 
+/// The highest number of a run that is believed. A task runs a few times; a number that is much higher is from another
+/// writer of the store, and would leave no number for the next run.
+pub const MAX_RUN: u32 = u32::MAX / 2;
+
 plain! {
     /// The state of a job.
     #[derive(Copy)]
@@ -109,6 +113,11 @@
         self.occurrences.iter().flatten().flatten().all(|task| task.state == TaskState::Done)
     }
 
+    /// Whether the numbers of all runs are at most [`MAX_RUN`].
+    pub fn has_valid_runs(&self) -> bool {
+        self.occurrences.iter().flatten().flatten().all(|task| task.run <= MAX_RUN)
+    }
+
     /// Whether the numbers of occurrences, steps and tasks are those of `spec`.
     pub fn matches_spec(&self, spec: &JobSpec) -> bool {
         self.occurrences.len() == spec.occurrences() as usize
--- a/crates/core/src/jobs/spec.rs
+++ b/crates/core/src/jobs/spec.rs
@@ -10,6 +10,10 @@
 /// progress of a task takes about 40 bytes.
 pub const MAX_TASKS: usize = 4_096;
 
+/// Maximum number of processors that a task requests, in thousandths of a core. The sum over the tasks of a host must
+/// fit in 32 bits.
+pub const MAX_TASK_CPU_MILLI: u32 = 1_024_000;
+
 /// The id of a job, chosen by the client and written as 16 lowercase hexadecimal digits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct JobId(pub u64);
@@ -168,6 +172,16 @@
         /// The index of the step that it depends on.
         on: u32,
     },
+    /// A task requests more than [`MAX_TASK_CPU_MILLI`].
+    #[error(
+        "a task of step {step} requests {cpu_milli} thousandths of a core; no host has more than {MAX_TASK_CPU_MILLI}"
+    )]
+    TooManyProcessors {
+        /// The index of the step.
+        step: usize,
+        /// The processors that a task requests, in thousandths of a core.
+        cpu_milli: u32,
+    },
     /// The job has more than [`MAX_TASKS`] tasks.
     #[error("the job has {tasks} tasks; split it into jobs of at most {MAX_TASKS}")]
     TooLarge {
@@ -208,8 +222,8 @@
         start.saturating_add(span).saturating_add(settings.latency_ms)
     }
 
-    /// Checks that every step has tasks and depends on earlier steps only, and that the job has at most [`MAX_TASKS`]
-    /// tasks.
+    /// Checks that every step has tasks, depends on earlier steps only and requests no more processors than any host can
+    /// have, and that the job has at most [`MAX_TASKS`] tasks.
     ///
     /// # Errors
     ///
@@ -225,6 +239,10 @@
             if let Some(&on) = spec.after.iter().find(|&&on| on as usize >= step) {
                 return Err(SpecError::Order { step, on });
             }
+            let cpu_milli = spec.resources.cpu_milli;
+            if cpu_milli > MAX_TASK_CPU_MILLI {
+                return Err(SpecError::TooManyProcessors { step, cpu_milli });
+            }
         }
         let tasks_per_occurrence = self.steps.iter().fold(0_usize, |sum, step| sum.saturating_add(step.tasks as usize));
         let tasks = tasks_per_occurrence.saturating_mul(self.occurrences() as usize);
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -224,6 +224,12 @@
         Ok(receiver)
     }
 
+    /// Whether a leader with a higher epoch has opened a session. What a leader of this epoch still has under way, for
+    /// example because it was paused, must then have no effect.
+    pub(crate) fn is_superseded(&self, epoch: u64) -> bool {
+        epoch < self.state.borrow().epoch
+    }
+
     /// The monotonic time on the agent's clock.
     pub(crate) fn now(&self) -> TimeMs {
         self.clock.now()
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -8,6 +8,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -31,7 +32,7 @@
     metrics::EntryMetrics,
     routing::{OperatorChange, Route, RoutingConfig},
     session::Leadership,
-    store::{JobRecord, Page, Record, Store, StoreError, Stream},
+    store::{self, JobRecord, Page, Record, Store, StoreError, Stream},
 };
 
 /// How long a read waits for new records, in milliseconds. An entry whose reads have failed for several times this long
@@ -94,7 +95,7 @@
     /// The offset of the next record to read from each stream; absent until the stream was read for the first time.
     next: BTreeMap<Stream, u64>,
     /// The address of each host's agent.
-    hosts: BTreeMap<HostName, String>,
+    hosts: BTreeMap<HostName, SocketAddr>,
     routing: Option<RoutingConfig>,
     zones_out: BTreeSet<String>,
     leader_events: Option<mpsc::UnboundedSender<LeaderEvent>>,
@@ -291,12 +292,16 @@
             match stream {
                 Stream::Operator => match (self.config.decode_operator_record)(record) {
                     Ok(change) => state.apply_operator_change(change),
-                    Err(message) => log::warn!("operator record skipped: key={} error={message}", record.key),
+                    Err(message) => self.skip_record(stream, &record.key, &message),
+                },
+                Stream::Hosts => match store::host_address(record) {
+                    Ok(Some(address)) => state.apply_host(&record.key, address),
+                    Ok(None) => {}
+                    Err(error) => self.skip_record(stream, &record.key, &error),
                 },
-                Stream::Hosts => state.apply_host_record(record),
                 Stream::Jobs | Stream::Progress => match JobRecord::decode(record) {
                     Ok(decoded) => state.apply_job_record(decoded),
-                    Err(error) => log::warn!("record skipped: stream={stream:?} error={error}"),
+                    Err(error) => self.skip_record(stream, &record.key, &error),
                 },
             }
         }
@@ -310,6 +315,13 @@
         }
     }
 
+    /// Logs and counts a record that cannot be used, for example because another writer has left it in the store. What
+    /// an earlier record of its key said stays in force.
+    fn skip_record(&self, stream: Stream, key: &str, error: &dyn std::fmt::Display) {
+        self.config.metrics.records_skipped.inc();
+        log::warn!("record skipped: stream={stream:?} key={key:?} error={error}");
+    }
+
     /// Takes over the leadership whenever no other entry leads, until `stop` is cancelled.
     async fn run_election(self: Rc<Self>, stop: CancellationToken) {
         let clock = self.config.clock;
@@ -403,7 +415,7 @@
         self.state.borrow_mut().next.insert(Stream::Progress, next);
     }
 
-    pub(crate) fn hosts(&self) -> BTreeMap<HostName, String> {
+    pub(crate) fn hosts(&self) -> BTreeMap<HostName, SocketAddr> {
         self.state.borrow().hosts.clone()
     }
 
@@ -455,15 +467,9 @@
         }
     }
 
-    fn apply_host_record(&mut self, record: &Record) {
-        match record.value.as_deref().map(std::str::from_utf8) {
-            Some(Ok(address)) => {
-                self.hosts.insert(record.key.clone(), address.to_owned());
-                self.notify_leader(LeaderEvent::HostsChanged);
-            }
-            Some(Err(e)) => log::warn!("host record skipped: key={} error={e}", record.key),
-            None => {}
-        }
+    fn apply_host(&mut self, host: &str, address: SocketAddr) {
+        self.hosts.insert(host.to_owned(), address);
+        self.notify_leader(LeaderEvent::HostsChanged);
     }
 
     fn apply_job_record(&mut self, record: JobRecord) {
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -1,7 +1,7 @@
 //! The leader feeds the scheduler with events from the store and the hosts, stores its decisions, and sends them to the
 //! hosts once they are stored.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use fescuelead_core::{
     jobs::{Batch, Effect, HostName, JobId, Phase, RunOutcome, Scheduler},
@@ -51,7 +51,7 @@
 
 /// The leader's session with the agent of one host, including its reconnects.
 struct Session {
-    address: String,
+    address: SocketAddr,
     orders: mpsc::UnboundedSender<ToAgent>,
     task: JoinHandle<()>,
 }
@@ -361,7 +361,7 @@
             self.scheduler.host_discovered(&host);
             let (orders, receiver) = mpsc::unbounded_channel();
             let events = self.session_events.clone();
-            let dial = session::dial(self.leadership.clone(), host.clone(), address.clone(), receiver, events);
+            let dial = session::dial(self.leadership.clone(), host.clone(), address, receiver, events);
             let task = spawn_local(dial);
             if let Some(earlier) = self.sessions.insert(host, Session { address, orders, task }) {
                 earlier.task.abort();
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -84,6 +84,7 @@
     pub waiting_steps: Gauge,
     pub hosts_connected: Gauge,
     pub config_version: Gauge,
+    pub records_skipped: Counter,
 }
 
 impl EntryMetrics {
@@ -104,6 +105,7 @@
         r.register("waiting_steps", "Steps with tasks that wait for a host", self.waiting_steps.clone());
         r.register("hosts_connected", "Hosts with a session of this leader", self.hosts_connected.clone());
         r.register("config_version", "Version of the configuration in force here", self.config_version.clone());
+        r.register("records_skipped", "Records of the store that could not be used", self.records_skipped.clone());
         encode(&r)
     }
 }
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -72,6 +73,9 @@
             message = incoming.recv() => {
                 let Some(message) = message else { break };
                 last_received = Instant::now();
+                if agent.is_superseded(epoch) {
+                    break;
+                }
                 agent.handle(message);
             }
             message = outgoing.recv() => {
@@ -143,13 +147,13 @@
 pub(crate) async fn dial(
     leadership: Rc<Leadership>,
     host: HostName,
-    address: String,
+    address: SocketAddr,
     mut orders: mpsc::UnboundedReceiver<ToAgent>,
     events: mpsc::UnboundedSender<(HostName, SessionEvent)>,
 ) {
     let mut backoff_ms = RECONNECT_BACKOFF_MS;
     loop {
-        let connecting = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), TcpStream::connect(&address)).await;
+        let connecting = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), TcpStream::connect(address)).await;
         if let Ok(Ok(stream)) = connecting {
             // The scheduler sends the orders of the earlier session again after the host has reported its runs.
             while orders.try_recv().is_ok() {}
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -1,5 +1,7 @@
 //! The interface of the platform's store, and the records that entries and agents keep in it.
 
+use std::net::SocketAddr;
+
 use async_trait::async_trait;
 use fescuelead_core::{
     jobs::{JobId, JobProgress, JobSpec},
@@ -105,6 +107,10 @@
 /// The key of the leader's heartbeat in [`Stream::Progress`].
 const LEADER: &str = "leader";
 
+/// The highest epoch of a leader that is believed. Epochs are Unix times in milliseconds times 1,000, so a higher one is
+/// from another writer; it would leave no epoch for the next leader.
+const MAX_EPOCH: u64 = 1 << 53;
+
 plain! {
     /// A heartbeat of the leader.
     pub struct LeaderRecord {
@@ -183,17 +189,44 @@
         let Some(value) = &record.value else { return Ok(Self::Removed) };
         if let Some(job) = record.key.strip_prefix(SUBMITTED) {
             let job = job.parse().map_err(|e| error(&e))?;
-            return postcard::from_bytes(value).map(|spec| Self::Submitted(job, spec)).map_err(|e| error(&e));
+            let spec: Box<JobSpec> = postcard::from_bytes(value).map_err(|e| error(&e))?;
+            // Entries append only valid jobs. State is allocated for each task that a record states.
+            spec.validate().map_err(|e| error(&e))?;
+            return Ok(Self::Submitted(job, spec));
         }
         if let Some(job) = record.key.strip_prefix(CANCELLED) {
             return job.parse().map(Self::Cancelled).map_err(|e| error(&e));
         }
         if record.key == LEADER {
-            return postcard::from_bytes(value).map(Self::Leader).map_err(|e| error(&e));
+            let leader: LeaderRecord = postcard::from_bytes(value).map_err(|e| error(&e))?;
+            if leader.epoch > MAX_EPOCH {
+                return Err(error(&format!("the epoch {} is higher than {MAX_EPOCH}", leader.epoch)));
+            }
+            return Ok(Self::Leader(leader));
         }
         let job = record.key.parse().map_err(|e| error(&e))?;
-        postcard::from_bytes(value).map(|progress| Self::Progressed(job, progress)).map_err(|e| error(&e))
+        let progress: JobProgress = postcard::from_bytes(value).map_err(|e| error(&e))?;
+        if !progress.has_valid_runs() {
+            return Err(error(&"the number of a run is too high"));
+        }
+        Ok(Self::Progressed(job, progress))
+    }
+}
+
+/// Decodes a record of [`Stream::Hosts`] to the address of the host's agent; `None` if the key was removed.
+///
+/// # Errors
+///
+/// Fails unless the value is an IP address and a port to which a connection can be opened.
+pub fn host_address(record: &Record) -> Result<Option<SocketAddr>, RecordError> {
+    let error = |message: &dyn ToString| RecordError { key: record.key.clone(), message: message.to_string() };
+    let Some(value) = &record.value else { return Ok(None) };
+    let text = std::str::from_utf8(value).map_err(|e| error(&e))?;
+    let address: SocketAddr = text.parse().map_err(|e| error(&e))?;
+    if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() || record.key.is_empty() {
+        return Err(error(&format!("{address} is not the address of an agent")));
     }
+    Ok(Some(address))
 }
 
 fn encode(key: String, value: &impl serde::Serialize) -> Result<Record, RecordError> {
--- a/crates/fleet/tests/agent.rs
+++ b/crates/fleet/tests/agent.rs
@@ -239,6 +239,26 @@
     .await;
 }
 
+/// Guards against orders of two leaders at the same time: a leader that was paused still has orders under way when its
+/// successor has opened a session.
+#[tokio::test(start_paused = true)]
+async fn orders_of_a_replaced_leader_have_no_effect() {
+    for _ in 0..20 {
+        run_local(async {
+            let endpoint = MemoryEndpoint::default();
+            let agent = start_agent(&endpoint).await;
+            let mut earlier = Leader::connect(&agent, 4).await;
+            earlier.receive_for(600).await;
+            let mut later = Leader::connect(&agent, 5).await;
+            // Both arrive at the agent in the same turn.
+            earlier.start(1).await;
+            later.receive_for(1_000).await;
+            assert!(endpoint.started.borrow().is_empty());
+        })
+        .await;
+    }
+}
+
 /// Guards against tasks that are never restarted because their endpoint does not answer, and against restarting them
 /// before the lease has expired.
 #[tokio::test(start_paused = true)]
