Announce an agent again that hears of no leader

Cause: the store keeps the newest record of a key only. An agent announced its address once a start, so an odd record of another writer under its key hid it from each entry that started later, until the agent itself was restarted.

Change: an agent that has had no message of a leader for 15 s appends its address again.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -93,6 +93,8 @@
     pacer: Pacer,
     /// The highest epoch of a leader that opened a session.
     epoch: u64,
+    /// When the last message of a leader arrived.
+    leader_heard_at: TimeMs,
     session: Option<mpsc::UnboundedSender<ToLeader>>,
     calls_in_flight: usize,
     shutting_down: bool,
@@ -142,6 +144,7 @@
             forget_up_to: 0,
             pacer: Pacer::new(),
             epoch: 0,
+            leader_heard_at: now,
             session: None,
             calls_in_flight: 0,
             shutting_down: false,
@@ -230,6 +233,16 @@
         epoch < self.state.borrow().epoch
     }
 
+    /// The name of the agent's host.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// When the last message of a leader arrived; the start of the agent if none has.
+    pub fn leader_heard_at(&self) -> TimeMs {
+        self.state.borrow().leader_heard_at
+    }
+
     /// The monotonic time on the agent's clock.
     pub(crate) fn now(&self) -> TimeMs {
         self.clock.now()
@@ -237,6 +250,7 @@
 
     /// Handles a message of the leader.
     pub(crate) fn handle(self: &Rc<Self>, message: ToAgent) {
+        self.state.borrow_mut().leader_heard_at = self.clock.now();
         match message {
             ToAgent::Hello { .. } => {}
             ToAgent::Grant { asked_ms, grant_ms } => {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 */
 
 pub mod agent;
+pub mod announce;
 pub mod clock;
 pub mod endpoint;
 pub mod entry;
--- a/crates/fleet/tests/agent.rs
+++ b/crates/fleet/tests/agent.rs
@@ -14,11 +14,13 @@
 };
 use fescuelead_fleet::{
     agent::Agent,
+    announce::keep_announced,
     clock::Clock,
     message::{self, Start, ToAgent, ToLeader},
     metrics::AgentMetrics,
+    store::{Record, Stream, host_address},
 };
-use support::MemoryEndpoint;
+use support::{MemoryEndpoint, MemoryStore};
 use tokio::{
     io::{BufReader, DuplexStream, ReadHalf, WriteHalf},
     task::{LocalSet, spawn_local},
@@ -259,6 +261,28 @@
     }
 }
 
+/// Guards against a host that is never used again after another writer has replaced the record of its address: the store
+/// keeps the newest record only.
+#[tokio::test(start_paused = true)]
+async fn an_agent_that_hears_of_no_leader_announces_itself_again() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = start_agent(&endpoint).await;
+        let store = MemoryStore::default();
+        let address = "10.0.0.1:7720".parse().expect("an address");
+        spawn_local(keep_announced(agent.clone(), store.clone(), address));
+        let mut leader = Leader::connect(&agent, 1).await;
+        leader.receive_for(40_000).await;
+        assert_eq!(store.records(Stream::Hosts).len(), 1, "announced again although a leader has a session");
+        drop(leader);
+        store.put(Stream::Hosts, Record::new("host-a", b"10.0.0.1:70000".to_vec()));
+        sleep(Duration::from_millis(20_000)).await;
+        let newest = store.records(Stream::Hosts).pop().expect("a record");
+        assert_eq!(host_address(&newest), Ok(Some(address)));
+    })
+    .await;
+}
+
 /// Guards against tasks that are never restarted because their endpoint does not answer, and against restarting them
 /// before the lease has expired.
 #[tokio::test(start_paused = true)]
