Order waiting work by what can be in time and by its value, and place images by what they disturb

A host that would just bear an image counted as much as one on which it disturbs nothing. Beyond capacity the earliest objective first gave hosts to many jobs and completed few.

Change: within a priority, jobs that can still be in time go first, and among these the one with the least work waiting for its value (scheduler/order.rs). A step takes as long as its slowest task. Background tasks prefer hosts of whose tightest headroom they use little; serving tasks are packed beside their own image; the host that throttles a task is no target of its move (hosts/suitability.rs).

--- a/crates/core/src/jobs/hosts.rs
+++ b/crates/core/src/jobs/hosts.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    image_interference::{ImageInterference, PairTable},
+    image_interference::PairTable,
     spec::{StepSpec, TaskRef},
 };
 use crate::{
@@ -11,6 +11,10 @@
     units::{Resources, TimeMs},
 };
 
+mod suitability;
+
+pub(super) use suitability::BackgroundFit;
+
 /// The name of a host, which is the name of its agent.
 pub type HostName = String;
 
@@ -25,9 +29,6 @@
 const REJECTION_BACKOFF_MS: u64 = 1_000;
 /// How long a host on which runs fail is avoided before it is tried again, in milliseconds.
 const FAILURE_BACKOFF_MS: u64 = 4_000;
-/// A background task that adds less than this to the logarithm of a tail latency counts as not interfering, in
-/// thousandths.
-const NEGLIGIBLE_MILLI: u64 = 10;
 
 plain! {
     /// What an endpoint reports about itself and its host.
@@ -83,6 +84,8 @@
     /// The processors requested by background tasks, by image, in thousandths of a core.
     background_images: BTreeMap<ClassId, u32>,
     serving: u32,
+    /// The number of serving tasks, by image.
+    serving_images: BTreeMap<ClassId, u32>,
     serving_cpu_milli: u32,
     /// By how much background tasks may raise the logarithm of the tail latency of each serving image, in thousandths.
     pub headroom_milli: Vec<(ClassId, i32)>,
@@ -107,6 +110,7 @@
             background_cpu_milli: 0,
             background_images: BTreeMap::new(),
             serving: 0,
+            serving_images: BTreeMap::new(),
             serving_cpu_milli: 0,
             headroom_milli: Vec::new(),
             throttled_since: BTreeMap::new(),
@@ -129,6 +133,9 @@
         let serves = step.tail_target_ms.is_some();
         if serves {
             self.serving += 1;
+            if let Some(image) = image {
+                *self.serving_images.entry(image).or_default() += 1;
+            }
             self.serving_cpu_milli += step.resources.cpu_milli;
         }
         self.used = self.used.plus(&resources);
@@ -162,6 +169,14 @@
         }
         if placed.serves {
             self.serving -= 1;
+            if let Some(image) = placed.image
+                && let Some(count) = self.serving_images.get_mut(&image)
+            {
+                *count -= 1;
+                if *count == 0 {
+                    self.serving_images.remove(&image);
+                }
+            }
             self.serving_cpu_milli -= placed.resources.cpu_milli;
         }
         self.used = self.used.minus(&resources);
@@ -191,7 +206,7 @@
     }
 
     /// Whether this host is eligible for a task of `step`. Ignores the processors that background tasks request; see
-    /// [`Self::background_speed_percent`].
+    /// [`Self::background_fit`].
     pub fn can_run(&self, task: &TaskRef, step: &StepSpec, service: &str, zones_out: &BTreeSet<String>) -> bool {
         let Some(info) = &self.info else { return false };
         if self.link != Link::Connected || !self.reconciled || info.draining || info.service != service {
@@ -220,36 +235,6 @@
         left.saturating_sub(self.background_cpu_milli)
     }
 
-    /// The expected speed of one more background task of `step` on this host, in percent. Limited by the free
-    /// processors and by the latency headroom of the serving tasks. Linear in the number of pairs of images on the
-    /// host.
-    pub fn background_speed_percent(
-        &self,
-        step: &StepSpec,
-        image: Option<ClassId>,
-        interference: &ImageInterference,
-    ) -> u32 {
-        let Some(info) = &self.info else { return 0 };
-        let total = u64::from(info.capacity.cpu_milli.max(1));
-        let requested = u64::from(step.resources.cpu_milli.max(1));
-        let mut speed = (u64::from(self.free_background_cpu_milli(info.capacity.cpu_milli)) * 100 / requested).min(100);
-        let Some(image) = image else { return speed as u32 };
-        for &(serving, headroom_milli) in &self.headroom_milli {
-            let added_by = |image: ClassId, cpu_milli: u64| {
-                u64::from(interference.growth_milli(image, serving)) * cpu_milli / total
-            };
-            let added_milli = added_by(image, requested);
-            if added_milli < NEGLIGIBLE_MILLI {
-                continue;
-            }
-            let present: u64 =
-                self.background_images.iter().map(|(image, cpu_milli)| added_by(*image, u64::from(*cpu_milli))).sum();
-            let left_milli = (i64::from(headroom_milli) - present as i64).max(0) as u64;
-            speed = speed.min(left_milli * 100 / added_milli);
-        }
-        speed as u32
-    }
-
     /// The images of background tasks and of serving tasks on the host.
     pub fn images(&self) -> (impl Iterator<Item = ClassId> + Clone, impl Iterator<Item = ClassId>) {
         (self.background_images.keys().copied(), self.headroom_milli.iter().map(|(serving, _)| *serving))
@@ -266,38 +251,4 @@
         let requested = self.background_cpu_milli + step.resources.cpu_milli;
         self.info.as_ref().is_some_and(|info| info.capacity.cpu_milli.saturating_sub(self.used.cpu_milli) >= requested)
     }
-
-    /// The suitability of this host for a task of `step`; higher is better.
-    ///
-    /// Background tasks interfere with serving tasks and are throttled on the same host. Serving tasks are therefore
-    /// packed onto few hosts, which leaves the other hosts to background tasks. Tasks that are neither prefer the hosts
-    /// with serving tasks.
-    pub fn score(&self, step: &StepSpec, background_speed_percent: u32, now: TimeMs) -> i64 {
-        let Some(info) = &self.info else { return i64::MIN };
-        let total = i64::from(info.capacity.cpu_milli.max(1));
-        let serves = step.tail_target_ms.is_some();
-        let mut score = if step.background {
-            i64::from(background_speed_percent) * 10
-                + i64::from(self.free_background_cpu_milli(info.capacity.cpu_milli)) * 1_000 / total
-        } else {
-            let demand = i64::from(self.used.cpu_milli) + i64::from(self.background_cpu_milli);
-            1_000 - (demand + i64::from(step.resources.cpu_milli)) * 1_000 / total
-        };
-        match (self.serving > 0, step.background, serves) {
-            (true, true, _) => score -= 300,
-            (true, false, true) => score += 1_000,
-            (true, false, false) => score += 300,
-            (false, ..) => {}
-        }
-        if serves {
-            score -= 2 * i64::from(self.background_cpu_milli) * 1_000 / total;
-        }
-        if step.rack.as_ref().is_some_and(|rack| info.labels.contains(rack)) {
-            score += 500;
-        }
-        if now < self.avoid_until {
-            score -= 10_000;
-        }
-        score
-    }
 }
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -24,8 +24,11 @@
 
 mod images;
 mod moving;
+mod order;
 mod placing;
 
+use order::{MeanWork, ReadyKey, StepRef, Urgency};
+
 plain! {
     /// The current time on the monotonic clock and on the wall clock.
     #[derive(Copy, Default)]
@@ -130,27 +133,6 @@
     }
 }
 
-/// A step of an occurrence that has waiting tasks and whose dependencies have succeeded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct ReadyKey {
-    priority: u8,
-    /// See [`JobSpec::objective_unix_ms`].
-    objective_unix_ms: u64,
-    /// The sequence number of the job in this scheduler.
-    accepted: u64,
-    job: JobId,
-    occurrence: u32,
-    step: u32,
-}
-
-impl ReadyKey {
-    /// The key by which steps are scheduled: by priority, then by the earliest objective. Within a priority, objectives
-    /// that have passed come after those that can still be met.
-    fn scheduling_key(&self, now: Moment) -> impl Ord + use<> {
-        (self.priority, self.objective_unix_ms < now.unix_ms, *self)
-    }
-}
-
 #[derive(Debug)]
 struct Job {
     spec: Arc<JobSpec>,
@@ -185,12 +167,13 @@
     full_placement_at: TimeMs,
     /// Steps that were matched against all hosts since the last full placement. Only hosts that changed afterwards can
     /// run their tasks.
-    matched_steps: BTreeSet<ReadyKey>,
+    matched_steps: BTreeSet<StepRef>,
     /// Hosts that may have become able to run more tasks since the last placement.
     changed_hosts: BTreeSet<HostName>,
     interference: ImageInterference,
     send_pairs_at: TimeMs,
     move_at: TimeMs,
+    mean_work: MeanWork,
 }
 
 impl Scheduler {
@@ -219,6 +202,7 @@
             interference: ImageInterference::new(),
             send_pairs_at: now.at,
             move_at: now.at,
+            mean_work: MeanWork::default(),
         };
         let unreachable = Link::Unreachable { lost_at: plan.lost_after_takeover(now.at) };
         for host in known_hosts {
@@ -255,6 +239,7 @@
             }
         }
         self.accepted += 1;
+        self.mean_work.add(&spec);
         let assigned = assigned_runs(id, &progress).len();
         let job = Job {
             spec,
@@ -587,7 +572,6 @@
     fn refresh_job(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get(&id) else { return };
         let settings = self.settings(&job.spec).clone();
-        let priority = settings.priority;
         let accepted = job.accepted;
         let mut ready = Vec::new();
         if job.progress.phase == Phase::Active {
@@ -596,12 +580,12 @@
                     self.due.insert((due, id));
                     continue;
                 }
-                let objective_unix_ms = job.spec.objective_unix_ms(occurrence, &settings);
+                let urgency = Urgency::new(&job.spec, &settings, occurrence, steps, &self.mean_work);
                 for (step, tasks) in (0..).zip(steps) {
                     let has_waiting = tasks.iter().any(|task| task.state == TaskState::Waiting);
                     let after = &job.spec.steps[step as usize].after;
                     if has_waiting && after.iter().all(|&on| job.progress.step_done(occurrence, on)) {
-                        ready.push(ReadyKey { priority, objective_unix_ms, accepted, job: id, occurrence, step });
+                        ready.push(ReadyKey { urgency, accepted, step: StepRef { job: id, occurrence, step } });
                     }
                 }
             }
--- a/crates/core/src/jobs/scheduler/moving.rs
+++ b/crates/core/src/jobs/scheduler/moving.rs
@@ -46,10 +46,12 @@
                 continue;
             };
             let service = self.settings(&spec).service.clone();
-            let requirements =
-                Requirements::new(step, &service, &mut self.interference).with_min_speed(MIN_TARGET_SPEED_PERCENT);
+            // That the host throttles the image counts for more than the estimate that it need not.
+            let requirements = Requirements::new(step, &service, &mut self.interference)
+                .with_min_speed(MIN_TARGET_SPEED_PERCENT)
+                .with_excluded(&from);
             let target = self.best_host(&task, &requirements, now);
-            let Some(target) = target.filter(|target| *target != from && !targets.contains(target)) else { continue };
+            let Some(target) = target.filter(|target| !targets.contains(target)) else { continue };
             if let Some(placed) = self.hosts.get_mut(&from).and_then(|host| host.tasks.get_mut(&task)) {
                 placed.moving = true;
                 targets.insert(target);
--- a/crates/core/src/jobs/scheduler/placing.rs
+++ b/crates/core/src/jobs/scheduler/placing.rs
@@ -2,11 +2,11 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use super::{Effect, Moment, ReadyKey, Scheduler};
+use super::{Effect, Moment, ReadyKey, Scheduler, StepRef};
 use crate::{
     interference::ClassId,
     jobs::{
-        hosts::HostName,
+        hosts::{BackgroundFit, HostName},
         image_interference::ImageInterference,
         progress::TaskState,
         spec::{JobSpec, StepSpec, TaskRef},
@@ -36,13 +36,15 @@
     label: Option<&'s str>,
     /// The minimum expected speed of a background task, in percent.
     min_speed_percent: u32,
+    /// A host that is not eligible.
+    excluded: Option<&'s HostName>,
 }
 
 impl<'s> Requirements<'s> {
     /// Requires a host of `service` with enough free resources for a task of `step`.
     pub fn new(step: &'s StepSpec, service: &'s str, interference: &mut ImageInterference) -> Self {
         let image = step.image.as_deref().map(|image| interference.image_id(image));
-        Self { step, image, service, label: None, min_speed_percent: MIN_SPEED_PERCENT }
+        Self { step, image, service, label: None, min_speed_percent: MIN_SPEED_PERCENT, excluded: None }
     }
 
     /// Additionally requires this label, if there is one.
@@ -50,6 +52,11 @@
         Self { label, ..self }
     }
 
+    /// Excludes a host.
+    pub fn with_excluded(self, host: &'s HostName) -> Self {
+        Self { excluded: Some(host), ..self }
+    }
+
     /// Requires at least this speed for a background task, in percent.
     pub fn with_min_speed(self, min_speed_percent: u32) -> Self {
         Self { min_speed_percent, ..self }
@@ -88,39 +95,43 @@
         let mut keys: Vec<_> = self.ready.iter().copied().collect();
         keys.sort_by_key(|key| key.scheduling_key(now));
         for key in keys {
-            self.place_step(&key, &changed, now.at);
+            self.place_step(&key, &changed, now);
         }
     }
 
-    fn place_step(&mut self, key: &ReadyKey, changed: &BTreeSet<HostName>, now: TimeMs) {
-        let Some(job) = self.jobs.get(&key.job) else { return };
+    fn place_step(&mut self, key: &ReadyKey, changed: &BTreeSet<HostName>, now: Moment) {
+        let StepRef { job: id, occurrence, step: step_index } = key.step;
+        let Some(job) = self.jobs.get(&id) else { return };
         let spec = job.spec.clone();
-        let Some(step) = spec.steps.get(key.step as usize) else { return };
+        let Some(step) = spec.steps.get(step_index as usize) else { return };
         let service = self.settings(&spec).service.clone();
-        let tasks = &job.progress.occurrences[key.occurrence as usize][key.step as usize];
-        let task_ref =
-            |index: usize| TaskRef { job: key.job, occurrence: key.occurrence, step: key.step, index: index as u32 };
+        let tasks = &job.progress.occurrences[occurrence as usize][step_index as usize];
+        let task_ref = |index: usize| TaskRef { job: id, occurrence, step: step_index, index: index as u32 };
         let waiting: Vec<_> = tasks
             .iter()
             .enumerate()
             .filter(|(_, task)| task.state == TaskState::Waiting)
             .map(|(index, task)| (task_ref(index), task.run))
             .collect();
-        let idle = job.idle_since.is_some_and(|since| now.since_ms(since) >= MAX_IDLE_MS);
+        let assigned = job.assigned;
+        let idle = job.idle_since.is_some_and(|since| now.at.since_ms(since) >= MAX_IDLE_MS);
         let tasks = tasks.len();
-        let changed = (!self.matched_steps.insert(*key)).then_some(changed);
+        let changed = (!self.matched_steps.insert(key.step)).then_some(changed);
         let requirements = Requirements::new(step, &service, &mut self.interference);
         if step.gang {
-            self.place_gang(&spec, &requirements, &waiting, tasks, now);
+            self.place_gang(&spec, &requirements, &waiting, tasks, now.at);
         } else {
-            self.place_tasks(&spec, &requirements, &waiting, changed, idle, now);
+            self.place_tasks(&spec, &requirements, &waiting, changed, idle, now.at);
         }
-        let has_waiting = self.jobs[&key.job].progress.occurrences[key.occurrence as usize][key.step as usize]
+        let has_waiting = self.jobs[&id].progress.occurrences[occurrence as usize][step_index as usize]
             .iter()
             .any(|task| task.state == TaskState::Waiting);
         if !has_waiting {
             self.ready.remove(key);
-            self.matched_steps.remove(key);
+            self.matched_steps.remove(&key.step);
+        } else if self.jobs[&id].assigned > assigned {
+            // The rest of a job that has begun is more urgent than before.
+            self.refresh_job(id, now);
         }
     }
 
@@ -196,14 +207,15 @@
         if !host.can_run(task, requirements.step, requirements.service, &self.zones_out) {
             return None;
         }
-        let mut speed_percent = 100;
-        if requirements.step.background {
-            speed_percent = host.background_speed_percent(requirements.step, requirements.image, &self.interference);
-            if speed_percent < requirements.min_speed_percent {
+        let Requirements { step, image, .. } = *requirements;
+        let mut fit = BackgroundFit::default();
+        if step.background {
+            fit = host.background_fit(step, image, &self.interference);
+            if fit.speed_percent < requirements.min_speed_percent {
                 return None;
             }
         }
-        Some(Candidate { host: name.clone(), score: host.score(requirements.step, speed_percent, now) })
+        Some(Candidate { host: name.clone(), score: host.score(step, image, fit, &self.interference, now) })
     }
 
     /// Whether less than half of the processors and less than half of the memory of a service are committed. Linear in
@@ -274,6 +286,7 @@
         let failed_on = self.jobs.get(&task.job).and_then(|job| job.failed_on.get(task));
         self.hosts
             .iter()
+            .filter(|(name, _)| requirements.excluded != Some(*name))
             .filter(|(_, host)| {
                 requirements
                     .label
--- a/crates/core/src/jobs/spec.rs
+++ b/crates/core/src/jobs/spec.rs
@@ -190,7 +190,28 @@
     },
 }
 
+impl StepSpec {
+    /// The expected duration of the slowest task of the step, in milliseconds. The estimate is that of a usual task, and the
+    /// slowest of many takes longer: 1.6 times as long of 10 tasks, and 1.9 times of 40, if their durations differ by about
+    /// a third.
+    pub fn slowest_task_ms(&self) -> u64 {
+        (self.estimate_ms as f64 * (1.0 + f64::from(self.tasks.max(1)).ln() / 4.0)) as u64
+    }
+
+    /// The estimated work of one task, in milliseconds of a core; at least 1.
+    pub fn task_work(&self) -> u64 {
+        (u64::from(self.resources.cpu_milli).saturating_mul(self.estimate_ms) / 1_000).max(1)
+    }
+}
+
 impl JobSpec {
+    /// The estimated work of an occurrence, in milliseconds of a core.
+    pub fn work(&self) -> u64 {
+        self.steps
+            .iter()
+            .fold(0, |sum: u64, step| sum.saturating_add(step.task_work().saturating_mul(u64::from(step.tasks))))
+    }
+
     /// The number of occurrences: 1 for a job that is not repeated.
     pub fn occurrences(&self) -> u32 {
         self.repeat.as_ref().map_or(1, |repeat| repeat.count.max(1))
@@ -203,13 +224,13 @@
         Some(repeat.first_unix_ms.saturating_add(repeat.interval_ms.saturating_mul(u64::from(occurrence))))
     }
 
-    /// The estimated duration of the longest chain of dependent steps, in milliseconds. Linear in the number of
-    /// dependencies.
+    /// The estimated duration of the longest chain of dependent steps, in milliseconds. A step takes as long as its slowest
+    /// task. Linear in the number of dependencies.
     pub fn critical_path_ms(&self) -> u64 {
         let mut end_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let start_ms = step.after.iter().filter_map(|&on| end_ms.get(on as usize)).max().copied().unwrap_or(0);
-            end_ms.push(start_ms.saturating_add(step.estimate_ms));
+            end_ms.push(start_ms.saturating_add(step.slowest_task_ms()));
         }
         end_ms.into_iter().max().unwrap_or(0)
     }
