Replace a silent leader after a second, and read back submissions to a slow store

Change: heartbeats every 0.2 s, a silent leader is replaced after 1.0 s to 1.2 s (before 0.4 s, 1.6 s to 2 s). Before it takes over an entry reads twice, with a pause of four times the duration of the first read. An append stays unanswered for up to 1.3 s while the store answers other calls, and succeeds as soon as its record is read back.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -47,13 +47,17 @@
 const MAX_BACKOFF_MS: u64 = 400;
 /// The backoff after the first failed call to the store, in milliseconds.
 const INITIAL_BACKOFF_MS: u64 = 30;
-/// Another entry takes over when the leader has stored no record for this long, in milliseconds: four heartbeats.
-const LEADER_TIMEOUT_MS: u64 = 1_600;
+/// Another entry takes over when the leader has stored no record for this long, in milliseconds: five heartbeats. Work
+/// that lost its host waits for that long, and a needless change of the leader costs less.
+const LEADER_TIMEOUT_MS: u64 = 1_000;
+/// A leader counts as silent only if the store holds nothing new of it for the time of this many further reads: an append
+/// of the leader may wait for an earlier one, and takes longer than a read.
+const SLOW_STORE_READS: u64 = 4;
 /// The upper bound of the random delay before an entry takes over, in milliseconds. It keeps entries from taking over
 /// at the same time; if two still do, the store refuses the one with the lower epoch.
-const TAKEOVER_JITTER_MS: u64 = 400;
+const TAKEOVER_JITTER_MS: u64 = 200;
 /// The upper bound of that delay after the leader has resigned, in milliseconds.
-const SUCCESSION_JITTER_MS: u64 = 120;
+const SUCCESSION_JITTER_MS: u64 = 100;
 /// Epochs per millisecond of Unix time. An epoch is the Unix time in milliseconds times this number plus a random
 /// number below it, so that two entries rarely choose the same epoch. Epochs stay below 2^53, the largest integer that
 /// all JSON parsers read exactly.
@@ -121,6 +125,8 @@
     /// The current outage of the store; `None` after a successful read or append.
     outage: Cell<Option<Outage>>,
     outage_started: Notify,
+    /// When the store last answered a call.
+    store_answered_at: Cell<TimeMs>,
     /// Jobs whose submission had an unknown outcome, with the time of that outcome.
     unknown_submissions: RefCell<BTreeMap<JobId, TimeMs>>,
 }
@@ -141,6 +147,7 @@
             leading_changed: Notify::new(),
             outage: Cell::new(None),
             outage_started: Notify::new(),
+            store_answered_at: Cell::default(),
             unknown_submissions: RefCell::default(),
         })
     }
@@ -205,6 +212,9 @@
             Ok(answer) => answer,
             Err(_) => Err(StoreError::Unknown(format!("none within {timeout_ms} ms"))),
         };
+        if answer.is_ok() {
+            self.store_answered_at.set(self.config.clock.now());
+        }
         let outcome = answer.as_ref().map_or_else(StoreError::kind, |_| "ok");
         self.config.metrics.store_calls.observe(kind, outcome, self.config.clock.now().since_ms(sent_at));
         answer
@@ -227,6 +237,7 @@
             match answer {
                 Ok(page) => {
                     self.outage.set(None);
+                    self.store_answered_at.set(self.config.clock.now());
                     if std::mem::take(&mut unreachable) {
                         log::info!("store reachable again: stream={stream:?} next={}", page.next);
                     }
@@ -365,20 +376,35 @@
         }
     }
 
-    /// Reads the newest records and returns whether there still is no leader; another entry may just have taken over.
+    /// Reads the newest records and returns whether there still is no leader; another entry may just have taken over. If the
+    /// store is slow, so are the leader's records: the answer then comes after a pause in which they can arrive.
     async fn leadership_is_vacant(&self) -> bool {
-        let before = self.state.borrow().epoch;
-        let leader_silent_since = self.state.borrow().leader_silent_since;
-        match self.catch_up(Stream::Progress).await {
-            Ok(()) => {
+        let (before, leader_silent_since) = {
+            let state = self.state.borrow();
+            (state.epoch, state.leader_silent_since)
+        };
+        let asked_at = self.config.clock.now();
+        for read in 0..2 {
+            if let Err(error) = self.catch_up(Stream::Progress).await {
+                log::warn!("cannot take over: entry={} error={error}", self.config.name);
+                return false;
+            }
+            let resigned = {
                 let state = self.state.borrow();
-                state.epoch == before && (state.resigned || state.leader_silent_since == leader_silent_since)
+                if state.epoch != before || !(state.resigned || state.leader_silent_since == leader_silent_since) {
+                    return false;
+                }
+                state.resigned
+            };
+            if resigned {
+                break;
             }
-            Err(error) => {
-                log::warn!("cannot take over: entry={} error={error}", self.config.name);
-                false
+            if read == 0 {
+                let took_ms = self.config.clock.now().since_ms(asked_at);
+                sleep(Duration::from_millis(took_ms * SLOW_STORE_READS)).await;
             }
         }
+        true
     }
 
     /// Makes all later epochs of this entry higher than `epoch`.
--- a/crates/fleet/src/entry/requests.rs
+++ b/crates/fleet/src/entry/requests.rs
@@ -20,6 +20,11 @@
 /// How long an unanswered submission may still take effect, in milliseconds: five times the limit that the platform
 /// states.
 const UNKNOWN_OUTCOME_MS: u64 = 60_000;
+/// How long an append may stay unanswered while the store answers other calls, in milliseconds: appends of all entries to a
+/// slow store wait for each other, and each repetition makes the others wait longer.
+const SLOW_APPEND_TIMEOUT_MS: u64 = 1_300;
+/// How often an unanswered append is looked for among the records that were read since, in milliseconds.
+const READ_BACK_INTERVAL_MS: u64 = 50;
 /// The pause between two reads that check whether an outage of the store has ended, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 300;
 
@@ -51,7 +56,8 @@
             return Ok(());
         }
         let record = JobRecord::submitted(job, &spec).map_err(|e| RequestError::NotDone(e.to_string()))?;
-        let stored = self.append_request(record, deadline).await;
+        let is_stored = || self.state.borrow().replica.job(job).is_some_and(|copy| copy.spec.is_some());
+        let stored = self.append_request(record, deadline, is_stored).await;
         self.track_unknown_outcome(job, stored)?;
         let mut state = self.state.borrow_mut();
         if state.replica.apply_submission(job, spec) {
@@ -95,7 +101,8 @@
         if !matches!(status, JobStatus::Queued | JobStatus::Active) {
             return Ok(true);
         }
-        self.append_request(JobRecord::cancelled(job), deadline).await?;
+        let is_stored = || self.state.borrow().replica.job(job).is_some_and(|copy| copy.cancelled);
+        self.append_request(JobRecord::cancelled(job), deadline, is_stored).await?;
         let mut state = self.state.borrow_mut();
         if state.replica.apply_cancellation(job) {
             state.notify_leader(LeaderEvent::Cancelled(job));
@@ -140,8 +147,14 @@
     }
 
     /// Appends a client's record, and repeats failed appends until `deadline` or until the failures amount to an outage
-    /// of the store. Fails at once during an outage.
-    async fn append_request(&self, record: Record, deadline: TimeMs) -> Result<(), RequestError> {
+    /// of the store. Succeeds as well once `is_stored`, which tells whether the record was read back from the store. Fails
+    /// at once during an outage.
+    async fn append_request(
+        &self,
+        record: Record,
+        deadline: TimeMs,
+        is_stored: impl Fn() -> bool,
+    ) -> Result<(), RequestError> {
         let clock = self.config.clock;
         let outage_ms = self.outage.get().map_or(0, |outage| clock.now().since_ms(outage.since));
         if outage_ms >= OUTAGE_THRESHOLD_MS {
@@ -151,12 +164,18 @@
         let mut unknown = None;
         let mut backoff_ms = INITIAL_BACKOFF_MS;
         loop {
-            let left_ms = deadline.since_ms(clock.now()).min(STORE_CALL_TIMEOUT_MS);
-            let error = match self
-                .call_store_within("append", left_ms, self.store.append(Stream::Jobs, &records, None))
-                .await
-            {
-                Ok(_) => {
+            let read_back = async {
+                while !is_stored() {
+                    sleep(Duration::from_millis(READ_BACK_INTERVAL_MS)).await;
+                }
+                Ok(())
+            };
+            let answer = tokio::select! {
+                answer = self.append_once(&records, deadline) => answer,
+                answer = read_back => answer,
+            };
+            let error = match answer {
+                Ok(()) => {
                     self.outage.set(None);
                     return Ok(());
                 }
@@ -176,6 +195,27 @@
         }
     }
 
+    /// Appends a client's record. Waits for the answer of a store that answers other calls for up to
+    /// [`SLOW_APPEND_TIMEOUT_MS`], and of one that does not for up to [`STORE_CALL_TIMEOUT_MS`].
+    async fn append_once(&self, records: &[Record], deadline: TimeMs) -> Result<(), StoreError> {
+        let clock = self.config.clock;
+        let sent_at = clock.now();
+        let limit_ms = deadline.since_ms(sent_at).min(SLOW_APPEND_TIMEOUT_MS);
+        let append = self.call_store_within("append", limit_ms, self.store.append(Stream::Jobs, records, None));
+        let store_is_silent = async {
+            loop {
+                sleep(Duration::from_millis(STORE_CALL_TIMEOUT_MS)).await;
+                if self.store_answered_at.get() <= sent_at {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            answer = append => answer.map(drop),
+            () = store_is_silent => Err(StoreError::Unknown(format!("none within {STORE_CALL_TIMEOUT_MS} ms"))),
+        }
+    }
+
     /// Notes that the store did not accept a record. Returns whether failures have lasted for [`OUTAGE_THRESHOLD_MS`].
     fn record_store_failure(&self) -> bool {
         let now = self.config.clock.now();
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -32,7 +32,7 @@
 /// The sequence number of a leader's first record.
 const FIRST_SEQUENCE: u64 = 1;
 /// How often the leader stores a heartbeat record, in milliseconds.
-const HEARTBEAT_INTERVAL_MS: u64 = 400;
+const HEARTBEAT_INTERVAL_MS: u64 = 200;
 /// How long a stopping leader tries to store its resignation, in milliseconds. Without it the other entries take over
 /// after the leader's timeout.
 const RESIGN_TIMEOUT_MS: u64 = 1_000;
