Repeat an unanswered submission until its client's deadline

An append without an answer ended as unknown as soon as the store had been away for 0.3 s, and clients cannot send such a request again.

Change: after an attempt without an answer the append, which replaces itself under its key, is repeated until the deadline of the client. Requests that were not sent are refused at once as before.

--- a/crates/fleet/src/entry/requests.rs
+++ b/crates/fleet/src/entry/requests.rs
@@ -147,8 +147,9 @@
     }
 
     /// Appends a client's record, and repeats failed appends until `deadline` or until the failures amount to an outage
-    /// of the store. Succeeds as well once `is_stored`, which tells whether the record was read back from the store. Fails
-    /// at once during an outage.
+    /// of the store. In an outage it goes on only if an attempt had no answer: the client could not send the request again
+    /// after an unknown outcome. Succeeds as well once `is_stored`, which tells whether the record was read back from the
+    /// store. Fails at once if the outage began before.
     async fn append_request(
         &self,
         record: Record,
@@ -185,7 +186,7 @@
             if let StoreError::Unknown(message) = &error {
                 unknown = Some(message.clone());
             }
-            if in_outage || clock.now().plus_ms(backoff_ms) >= deadline {
+            if (in_outage && unknown.is_none()) || clock.now().plus_ms(backoff_ms) >= deadline {
                 return Err(match unknown {
                     Some(message) => RequestError::Unknown(message),
                     None => RequestError::NotDone(error.to_string()),
--- a/crates/fleet/tests/leadership.rs
+++ b/crates/fleet/tests/leadership.rs
@@ -299,6 +299,27 @@
         .await;
 }
 
+/// Guards against requests that are lost although their clients still wait: after an attempt without an answer the outcome
+/// was reported as unknown as soon as the store had been away for 0.3 s.
+#[tokio::test(start_paused = true)]
+async fn a_submission_without_an_answer_is_repeated_until_the_store_is_back() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, started) = store_with_config();
+            let process = start("a", &store, started);
+            wait(3_000).await;
+            process.store.silent.set(true);
+            let back = process.store.silent.clone();
+            spawn_local(async move {
+                wait(1_700).await;
+                back.set(false);
+            });
+            let deadline = fescuelead_core::units::TimeMs(1_000_000 + started.elapsed().as_millis() as u64 + 2_850);
+            assert_eq!(process.entry.submit(JOB, spec(), deadline).await, Ok(()));
+        })
+        .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_configuration_never_reverts() {
     LocalSet::new()
