Drop pages that were read before newer ones

When it woke, its follower and its election read the progress stream at the same time; the answer to the follower was older, was applied last, and moved the offset back while a later read of the election was under way, which then skipped the records in between.

Change: a page is applied only if it continues where the replica is.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -245,7 +245,7 @@
                     if from.is_none() {
                         log::info!("stream read: stream={stream:?} records={} next={}", page.records.len(), page.next);
                     }
-                    self.apply(stream, page);
+                    self.apply(stream, from, page);
                     let spacing_ms = match stream {
                         Stream::Progress => PROGRESS_POLL_MS,
                         Stream::Jobs if !self.leading.get() => JOBS_POLL_MS,
@@ -286,16 +286,20 @@
                     Err(error) => return Err(error),
                 },
             };
-            let read = page.records.len();
-            self.apply(stream, page);
-            if read == 0 {
+            let is_end = page.records.is_empty();
+            if self.apply(stream, from, page) && is_end {
                 return Ok(());
             }
         }
     }
 
-    fn apply(&self, stream: Stream, page: Page) {
+    /// Applies a page that was read from the offset `from`, or the newest records if that is `None`. Returns whether it
+    /// did: another task may have read on in the meantime, after which the records of this page are out of date.
+    fn apply(&self, stream: Stream, from: Option<u64>, page: Page) -> bool {
         let mut state = self.state.borrow_mut();
+        if state.next.get(&stream).copied() != from {
+            return false;
+        }
         if stream == Stream::Progress && !page.records.is_empty() {
             state.leader_silent_since = self.config.clock.now();
         }
@@ -324,6 +328,7 @@
             // The latest leader was this entry, either in an earlier process or before it stopped leading.
             state.resigned = true;
         }
+        true
     }
 
     /// Logs and counts a record that cannot be used, for example because another writer has left it in the store. What
--- a/crates/fleet/tests/leadership.rs
+++ b/crates/fleet/tests/leadership.rs
@@ -4,7 +4,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use fescuelead_core::jobs::{JobId, JobSpec, JobStatus, QueueSettings, StepSpec, lease::LeasePlan};
+use fescuelead_core::jobs::{JobId, JobProgress, JobSpec, JobStatus, Phase, QueueSettings, StepSpec, lease::LeasePlan};
 use fescuelead_fleet::{
     clock::Clock,
     entry::{Entry, EntryConfig, Lookup, RequestError},
@@ -320,6 +320,44 @@
         .await;
 }
 
+/// Guards against running a task twice: an entry that had been frozen applied the answer of a read after newer records had
+/// been read by its election. It then took over with a run that had ended, and started the task again.
+#[tokio::test(start_paused = true)]
+async fn a_late_answer_does_not_undo_newer_records() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, started) = store_with_config();
+            let process = start("a", &store, started);
+            let heartbeat = LeaderRecord { epoch: 1 << 52, name: "b".to_owned(), resigned: false };
+            let put_heartbeat = || store.put(Stream::Progress, JobRecord::leader(&heartbeat).expect("a record"));
+            process.store.late_reads_ms.set(2_000);
+            for id in 0..2_000 {
+                let job = JobId(id);
+                store.put(Stream::Jobs, JobRecord::submitted(job, &spec()).expect("a record"));
+                let mut progress = JobProgress::new(&spec());
+                for phase in [Phase::Active, Phase::Completed] {
+                    progress.phase = phase;
+                    store.put(Stream::Progress, JobRecord::progressed(job, &progress).expect("a record"));
+                    put_heartbeat();
+                    wait(3).await;
+                }
+            }
+            process.store.late_reads_ms.set(0);
+            for _ in 0..50 {
+                put_heartbeat();
+                wait(100).await;
+            }
+            let mut undone = Vec::new();
+            for id in 0..2_000 {
+                if process.entry.status(JobId(id)).await != Ok(Some(JobStatus::Completed)) {
+                    undone.push(id);
+                }
+            }
+            assert!(undone.is_empty(), "{undone:?}");
+        })
+        .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_configuration_never_reverts() {
     LocalSet::new()
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -41,6 +41,8 @@
     /// How long an append of a client's record takes beyond that, in milliseconds. It takes effect at the end, also if the
     /// caller has given up.
     pub queue_ms: Rc<Cell<u64>>,
+    /// How long the answer of a read that may wait is under way at most, in milliseconds.
+    pub late_reads_ms: Rc<Cell<u64>>,
     /// Whether calls fail without an effect.
     pub down: Rc<Cell<bool>>,
     /// Whether calls have no effect and are never answered.
@@ -104,6 +106,9 @@
             drop(waited);
         }
         let records = self.records(stream).split_off((from as usize).min(length() as usize));
+        if wait_ms > 0 && self.late_reads_ms.get() > 0 {
+            sleep(Duration::from_millis(rand::random_range(0..self.late_reads_ms.get()))).await;
+        }
         let next = from + records.len() as u64;
         Ok(Page { records, next })
     }
