--- a/crates/fleet/src/announce.rs
+++ b/crates/fleet/src/announce.rs
@@ -19,8 +19,8 @@
 /// replace a leader, as each announcement costs a call of every agent.
 const SILENCE_MS: u64 = 15_000;
 
-/// Announces the agent's address, and announces it again whenever no leader has sent anything for [`SILENCE_MS`]: the
-/// record may have been replaced by another writer, and only the newest of a key is kept.
+/// Announces the agent's address, and announces it again whenever no leader has sent anything for 15 s: the record may have
+/// been replaced by another writer, and only the newest of a key is kept.
 pub async fn keep_announced(agent: Rc<Agent>, store: impl Store, address: SocketAddr) {
     let record = [Record::new(agent.name(), address.to_string().into_bytes())];
     loop {
