Review case 1: tasks that have ended run again after an outage of the store

Cause: an endpoint lists 500 ended runs at a time. After a repeated start was answered as outdated, an agent takes a run that the next report doesn't list for one that never was, also when the list is full.

Change: adds the case. It takes the first place; the restarted endpoint becomes case 2, whose checks move to the shared module.

--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -35,14 +35,14 @@
 
 
 class Cell:
-    def __init__(self, entries=3, executors=4, cpu=16_000):
+    def __init__(self, entries=3, executors=4, cpu=16_000, start_ms=0):
         with open(ROOT / "deploy" / "system.toml", "rb") as file:
             self.roles = tomllib.load(file)["roles"]
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.events_file = self.folder / "events.jsonl"
         self.events_file.touch()
         self.net = self.free_net(1 + entries + executors)
-        self.processes, self.lines, self.cpu = {}, [], cpu
+        self.processes, self.lines, self.cpu, self.start_ms = {}, [], cpu, start_ms
         self.entries = [f"edge-{index}" for index in range(entries)]
         self.agents = [f"side-{index}" for index in range(executors)]
         self.ips = {"store": f"{self.net}.1"}
@@ -128,7 +128,8 @@
             sys.executable, str(LIB / "executor.py"), "--id", f"i-{number:08x}", "--ip", self.ips[name],
             "--port", str(PORTS["app"]), "--service", SERVICE, "--zone", ZONES[number % len(ZONES)],
             "--rack", f"r{number // 3}-1", "--agent", f"{self.ips[name]}:{PORTS['control_plane']}",
-            "--events", str(self.events_file), "--control", str(self.control_path(name)), "--cpu", str(self.cpu)])
+            "--events", str(self.events_file), "--control", str(self.control_path(name)), "--cpu", str(self.cpu),
+            "--start-ms", str(self.start_ms)])
 
     def control_path(self, name):
         return self.folder / f"{name}.control"
@@ -289,3 +290,37 @@
                 if executor == event["executor"] and times[1] is None:
                     times[1:] = [event["t"], "gone"]
     return [(*key, *times) for key, times in found.items()]
+
+
+def overlaps(history):
+    """Pairs of runs of one task that ran at the same time on executors that are up."""
+    breaks, by_task = [], {}
+    for task, run, executor, _, start, end, how in history:
+        by_task.setdefault(task, []).append((start, end if end is not None else float("inf"), run, executor, how))
+    for task, rows in sorted(by_task.items()):
+        rows.sort()
+        for index, (start, end, run, executor, how) in enumerate(rows):
+            for start2, end2, run2, executor2, _ in rows[index + 1:]:
+                # A millisecond of rounding on either side.
+                if run2 != run and start2 + 2 < end:
+                    breaks.append(f"TWICE: {task} run {run} on {executor} ({how}) and run {run2} on {executor2} ran at "
+                                  f"the same time for {min(end, end2) - start2} ms")
+    return breaks
+
+
+def repeated(history, events):
+    """Runs that started after a run of their task had ended `done`, where that end was taken note of."""
+    noted = set()
+    for event in events:
+        if event["event"] == "seen":
+            noted.update(other["task"] for other in events
+                         if other["event"] == "end" and other["how"] == "done" and other["number"] <= event["up_to"]
+                         and (other["executor"], other["born"]) == (event["executor"], event["born"])
+                         and other["t"] <= event["t"])
+    breaks = []
+    for task, run, executor, _, start, _, _ in sorted(history):
+        for other, earlier, where, _, _, end, how in history:
+            if other == task and earlier != run and how == "done" and end < start and task in noted:
+                breaks.append(f"TWICE: {task} run {run} started on {executor} {start - end} ms after run {earlier} had ended "
+                              f"done on {where}, an end that was taken note of")
+    return breaks
--- a/review/lib/executor.py
+++ b/review/lib/executor.py
@@ -25,6 +25,7 @@
         self.born = int(time.time() * 1000)
         self.started = time.monotonic()
         self.lock = threading.Condition()
+        self.starting = threading.Lock()
         self.token = 0
         self.lease_end = 0
         self.running = {}
@@ -171,6 +172,7 @@
         parser.add_argument(f"--{name}", required=True)
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--cpu", type=int, default=16_000)
+    parser.add_argument("--start-ms", type=float, default=0)
     args = parser.parse_args()
     executor = None
 
@@ -189,6 +191,12 @@
                 time.sleep(30)
                 return
             expected = self.headers.get("Fescuelead-Expect-Instance")
+            if args.start_ms and self.path.endswith("run-start"):
+                # To start a task takes a moment, and one is started after the other.
+                with executor.starting:
+                    known = max(executor.highest.get(body["task"], 0), executor.running.get(body["task"], {}).get("run", 0))
+                    if body["run_id"] > known:
+                        time.sleep(args.start_ms / 1000)
             with executor.lock:
                 if expected is not None and expected != args.id:
                     status, reply = 421, {}
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -1,7 +1,7 @@
 """Stand-in for the platform's store (PROTOCOL.md, "The platform's metadata store"), as far as the system uses it.
 
 A control file (JSON) switches faults on: `late_jobs` is the number of seconds by which appends to keyed.jobs are carried
-out late; they get no answer (`platform_lost`, variant `late`).
+out late; they get no answer (`platform_lost`, variant `late`). `silent`: no call is carried out or answered (`platform_down`).
 """
 
 import argparse
@@ -147,6 +147,10 @@
                 pass
 
         def handle_call(self, body):
+            if store.control().get("silent"):
+                # Neither carried out nor answered; the channel returns nothing further.
+                time.sleep(30)
+                return
             url = urlsplit(self.path)
             query = {key: values[0] for key, values in parse_qs(url.query).items()}
             name = query.get("topic", "")
