Move the agent's starts and stops into modules of their own

The agent's file held the repetition of starts and of stops beside the lease and the reports.

Evidence: cargo build -p fescuelead-fleet; no function body differs.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -27,7 +27,7 @@
 
 use crate::{
     clock::Clock,
-    endpoint::{Endpoint, EndpointError, Report, Running, StartAnswer, StartOrder},
+    endpoint::{Endpoint, EndpointError, Report, Running},
     message::{Start, ToAgent, ToLeader},
     metrics::AgentMetrics,
     session,
@@ -117,6 +117,8 @@
 mod orders;
 mod pacing;
 mod room;
+mod starts;
+mod stops;
 
 use crash::Crash;
 
@@ -299,181 +301,6 @@
         }
     }
 
-    fn handle_start(self: &Rc<Self>, start: Start) {
-        let mut state = self.state.borrow_mut();
-        if state.incarnation != Some(start.incarnation) {
-            return;
-        }
-        if state.endpoint_lost {
-            // The leader has sent the order although it was told of the loss, and would wait for this run for good.
-            return state.reject(&start);
-        }
-        let ended = state.ends.values().any(|ended| ended.task == start.task && ended.run == start.run);
-        if ended {
-            return;
-        }
-        let is_running = state.running.get(&start.task).is_some_and(|running| running.run == start.run);
-        let is_ordered = state.orders.get(&start.task).is_some_and(|order| order.run == start.run);
-        if is_ordered {
-            return;
-        }
-        if !is_running && (state.shutting_down || state.info.as_ref().is_some_and(|info| info.draining)) {
-            return state.reject(&start);
-        }
-        let order = Order {
-            run: start.run,
-            resources: start.resources(),
-            background: start.background,
-            tail_target_ms: start.tail_target_ms,
-            image: start.image.clone(),
-            stopping: false,
-            started_at: None,
-            paced_percent: 100,
-        };
-        state.orders.insert(start.task, order);
-        drop(state);
-        if !is_running {
-            spawn_local(self.clone().repeat_start(start));
-        }
-    }
-
-    /// Repeats a start until the endpoint has answered it or the order is no longer current.
-    async fn repeat_start(self: Rc<Self>, start: Start) {
-        let (task, run, incarnation) = (start.task, start.run, start.incarnation);
-        let mut order = StartOrder { task, run, payload: start.payload, deadline_ms: 0, checkpoint: start.checkpoint };
-        let mut unanswered = false;
-        loop {
-            let Some((token, deadline)) = self.start_terms(incarnation, task, run) else { return };
-            let Some(deadline_ms) = deadline else {
-                sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
-                continue;
-            };
-            if !self.state.borrow().has_room(task) {
-                return self.refuse_start(incarnation, task, run, Rejection::NoRoom, unanswered).await;
-            }
-            order.deadline_ms = deadline_ms;
-            match self.call("start", ANSWER_TIMEOUT_MS, self.endpoint.start(token, &order)).await {
-                Ok(StartAnswer::Started) => {
-                    return self.state.borrow_mut().record_start(incarnation, task, run, self.clock.now());
-                }
-                Ok(StartAnswer::Fenced) => self.raise_token(token),
-                // If the endpoint has restarted, its next report or heartbeat ends this order. If only the caller's
-                // idea of the instance was out of date, nothing else would tell the leader that the run does not exist.
-                Ok(StartAnswer::Late | StartAnswer::OtherIncarnation) => {
-                    sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
-                }
-                // An earlier attempt may have started the run, which has ended since.
-                Ok(StartAnswer::Rejected(Rejection::Outdated)) => return self.check_run(incarnation, task, run).await,
-                Ok(StartAnswer::Rejected(reason)) => {
-                    return self.refuse_start(incarnation, task, run, reason, unanswered).await;
-                }
-                Err(EndpointError::Down(_)) => sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await,
-                Err(error @ EndpointError::Unknown(_)) => {
-                    log::warn!("start unanswered: task={task} run={run} host={} error={error}", self.name);
-                    unanswered = true;
-                    sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
-                }
-            }
-        }
-    }
-
-    /// Ends an order whose run does not start. `unanswered` says whether the endpoint has left an attempt unanswered.
-    async fn refuse_start(
-        self: Rc<Self>,
-        incarnation: u64,
-        task: TaskRef,
-        run: u32,
-        reason: Rejection,
-        unanswered: bool,
-    ) {
-        log::info!("start refused: task={task} run={run} host={} reason={reason:?}", self.name);
-        if unanswered {
-            // An earlier attempt without an answer may still start the run; a stop prevents that.
-            return self.repeat_stop(incarnation, task, run).await;
-        }
-        let mut state = self.state.borrow_mut();
-        state.drop_order(task, run);
-        state.send(ToLeader::Rejected { incarnation, task, run, reason });
-    }
-
-    /// The fencing token and the lease deadline to start a run with; `None` if the order is no longer current. The
-    /// deadline is `None` while the lease cannot be extended or the endpoint refuses connections.
-    fn start_terms(&self, incarnation: u64, task: TaskRef, run: u32) -> Option<(u64, Option<u64>)> {
-        let mut state = self.state.borrow_mut();
-        let is_current = state.incarnation == Some(incarnation)
-            && !state.endpoint_lost
-            && state.orders.get(&task).is_some_and(|order| order.run == run && !order.stopping);
-        let now = self.clock.now();
-        is_current.then(|| (state.token, if state.is_refusing(now) { None } else { state.deadline(now) }))
-    }
-
-    fn handle_stop(self: &Rc<Self>, task: TaskRef, run: u32) {
-        let mut state = self.state.borrow_mut();
-        let Some(incarnation) = state.incarnation else { return };
-        let order = state.orders.entry(task).or_insert(Order {
-            run,
-            resources: Resources::ZERO,
-            background: false,
-            tail_target_ms: None,
-            image: None,
-            stopping: false,
-            started_at: None,
-            paced_percent: 100,
-        });
-        if order.run != run || std::mem::replace(&mut order.stopping, true) {
-            return;
-        }
-        drop(state);
-        spawn_local(self.clone().repeat_stop(incarnation, task, run));
-    }
-
-    /// Repeats a stop until the endpoint has answered it or the order is no longer current.
-    async fn repeat_stop(self: Rc<Self>, incarnation: u64, task: TaskRef, run: u32) {
-        loop {
-            let (token, is_refusing) = {
-                let mut state = self.state.borrow_mut();
-                if state.incarnation != Some(incarnation) || state.endpoint_lost {
-                    return;
-                }
-                match state.orders.get_mut(&task) {
-                    Some(order) if order.run == run => order.stopping = true,
-                    _ => return,
-                }
-                (state.token, state.is_refusing(self.clock.now()))
-            };
-            if is_refusing {
-                sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
-                continue;
-            }
-            match self.call("stop", ANSWER_TIMEOUT_MS, self.endpoint.stop(token, task, run)).await {
-                Ok(true) => return self.check_run(incarnation, task, run).await,
-                Ok(false) => self.raise_token(token),
-                Err(_) => sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await,
-            }
-        }
-    }
-
-    /// Waits for a report that is requested after this call. A run that this report lists neither as running nor as
-    /// ended will never start, and is rejected.
-    async fn check_run(self: Rc<Self>, incarnation: u64, task: TaskRef, run: u32) {
-        let since = self.clock.now();
-        loop {
-            sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
-            let mut state = self.state.borrow_mut();
-            let is_pending = state.incarnation == Some(incarnation)
-                && !state.endpoint_lost
-                && state.orders.get(&task).is_some_and(|order| order.run == run);
-            if !is_pending {
-                return;
-            }
-            if state.report_sent_at > since && state.running.get(&task).is_none_or(|running| running.run != run) {
-                state.drop_order(task, run);
-                state.send(ToLeader::Rejected { incarnation, task, run, reason: Rejection::Outdated });
-                return;
-            }
-        }
-    }
-
     /// Extends the lease and collects ended runs for as long as the agent runs.
     async fn renew_lease(self: Rc<Self>) {
         loop {
--- /dev/null
+++ b/crates/fleet/src/agent/stops.rs
@@ -0,0 +1,82 @@
+//! Stops of runs, which are repeated until the endpoint has answered them.
+
+use std::{rc::Rc, time::Duration};
+
+use fescuelead_core::{
+    jobs::{Rejection, TaskRef},
+    units::Resources,
+};
+use tokio::{task::spawn_local, time::sleep};
+
+use super::{ANSWER_TIMEOUT_MS, Agent, Order, RETRY_INTERVAL_MS};
+use crate::message::ToLeader;
+
+impl Agent {
+    /// Handles an order of the leader to stop a run, or to prevent it from starting.
+    pub(super) fn handle_stop(self: &Rc<Self>, task: TaskRef, run: u32) {
+        let mut state = self.state.borrow_mut();
+        let Some(incarnation) = state.incarnation else { return };
+        let order = state.orders.entry(task).or_insert(Order {
+            run,
+            resources: Resources::ZERO,
+            background: false,
+            tail_target_ms: None,
+            image: None,
+            stopping: false,
+            started_at: None,
+            paced_percent: 100,
+        });
+        if order.run != run || std::mem::replace(&mut order.stopping, true) {
+            return;
+        }
+        drop(state);
+        spawn_local(self.clone().repeat_stop(incarnation, task, run));
+    }
+
+    /// Repeats a stop until the endpoint has answered it or the order is no longer current.
+    pub(super) async fn repeat_stop(self: Rc<Self>, incarnation: u64, task: TaskRef, run: u32) {
+        loop {
+            let (token, is_refusing) = {
+                let mut state = self.state.borrow_mut();
+                if state.incarnation != Some(incarnation) || state.endpoint_lost {
+                    return;
+                }
+                match state.orders.get_mut(&task) {
+                    Some(order) if order.run == run => order.stopping = true,
+                    _ => return,
+                }
+                (state.token, state.is_refusing(self.clock.now()))
+            };
+            if is_refusing {
+                sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
+                continue;
+            }
+            match self.call("stop", ANSWER_TIMEOUT_MS, self.endpoint.stop(token, task, run)).await {
+                Ok(true) => return self.check_run(incarnation, task, run).await,
+                Ok(false) => self.raise_token(token),
+                Err(_) => sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await,
+            }
+        }
+    }
+
+    /// Waits for a report that is requested after this call. A run that this report lists neither as running nor as
+    /// ended will never start, and is rejected.
+    pub(super) async fn check_run(self: Rc<Self>, incarnation: u64, task: TaskRef, run: u32) {
+        let since = self.clock.now();
+        loop {
+            sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
+            let mut state = self.state.borrow_mut();
+            let is_pending = state.incarnation == Some(incarnation)
+                && !state.endpoint_lost
+                && state.orders.get(&task).is_some_and(|order| order.run == run);
+            if !is_pending {
+                return;
+            }
+            if state.report_sent_at > since && state.running.get(&task).is_none_or(|running| running.run != run) {
+                state.drop_order(task, run);
+                state.send(ToLeader::Rejected { incarnation, task, run, reason: Rejection::Outdated });
+                return;
+            }
+        }
+    }
+}
