Send no start to an endpoint that drains or may drain

Tasks started over 2 s after their executor had said that it leaves, and some of them were lost with it and ran again.

Cause: an agent looks at draining when an order arrives. While the endpoint is mute, the lease cannot be extended and the order is held back; the loop that repeats it never looked again.

The agent now decides anew before each attempt. On an endpoint that drains or has announced its departure an order is withdrawn: it is rejected at once if no attempt was left unanswered, and otherwise after the run has been stopped. A run that a report lists counts as started. An order waits until the endpoint has announced itself to this process, because a new agent process does not know whether its endpoint drains.

--- a/crates/fleet/src/agent/crash.rs
+++ b/crates/fleet/src/agent/crash.rs
@@ -136,8 +136,8 @@
         self.refused_at.is_some_and(|at| now.since_ms(at) < DOWN_RETRY_INTERVAL_MS)
     }
 
-    /// Whether the endpoint has announced that it ends.
-    fn is_leaving(&self) -> bool {
+    /// Whether the endpoint has announced that it drains or ends, after which no run may start on it.
+    pub(super) fn is_leaving(&self) -> bool {
         self.departing || self.info.as_ref().is_some_and(|info| info.draining)
     }
 
--- a/crates/fleet/src/agent/starts.rs
+++ b/crates/fleet/src/agent/starts.rs
@@ -2,15 +2,36 @@
 
 use std::{rc::Rc, time::Duration};
 
-use fescuelead_core::jobs::{Rejection, TaskRef};
+use fescuelead_core::{
+    jobs::{Rejection, TaskRef},
+    units::TimeMs,
+};
 use tokio::{task::spawn_local, time::sleep};
 
-use super::{ANSWER_TIMEOUT_MS, Agent, Order, RETRY_INTERVAL_MS};
+use super::{ANSWER_TIMEOUT_MS, Agent, Order, RETRY_INTERVAL_MS, State};
 use crate::{
     endpoint::{EndpointError, StartAnswer, StartOrder},
     message::{Start, ToLeader},
 };
 
+/// What to do next about an order to start a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NextAttempt {
+    /// Send the start.
+    Send {
+        /// The fencing token of the call.
+        token: u64,
+        /// The time up to which the call extends the lease, in milliseconds on the endpoint's clock.
+        deadline_ms: u64,
+    },
+    /// Decide again after a pause.
+    Later,
+    /// Tell the leader that the run does not start, once that is certain.
+    Withdraw(Rejection),
+    /// Nothing: the run was reported, or the order is no longer current.
+    Settled,
+}
+
 impl Agent {
     /// Handles an order of the leader to start a run.
     pub(super) fn handle_start(self: &Rc<Self>, start: Start) {
@@ -31,7 +52,7 @@
         if is_ordered {
             return;
         }
-        if !is_running && (state.shutting_down || state.info.as_ref().is_some_and(|info| info.draining)) {
+        if !is_running && (state.shutting_down || state.is_leaving()) {
             return state.reject(&start);
         }
         let order = Order {
@@ -57,15 +78,21 @@
         let mut order = StartOrder { task, run, payload: start.payload, deadline_ms: 0, checkpoint: start.checkpoint };
         let mut unanswered = false;
         loop {
-            let Some((token, deadline)) = self.start_terms(incarnation, task, run) else { return };
-            let Some(deadline_ms) = deadline else {
-                sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
-                continue;
+            let next = self.state.borrow_mut().next_attempt(incarnation, task, run, unanswered, self.clock.now());
+            let token = match next {
+                NextAttempt::Send { token, deadline_ms } => {
+                    order.deadline_ms = deadline_ms;
+                    token
+                }
+                NextAttempt::Later => {
+                    sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
+                    continue;
+                }
+                NextAttempt::Withdraw(reason) => {
+                    return self.refuse_start(incarnation, task, run, reason, unanswered).await;
+                }
+                NextAttempt::Settled => return,
             };
-            if !self.state.borrow().has_room(task) {
-                return self.refuse_start(incarnation, task, run, Rejection::NoRoom, unanswered).await;
-            }
-            order.deadline_ms = deadline_ms;
             match self.call("start", ANSWER_TIMEOUT_MS, self.endpoint.start(token, &order)).await {
                 Ok(StartAnswer::Started) => {
                     return self.state.borrow_mut().record_start(incarnation, task, run, self.clock.now());
@@ -109,15 +136,44 @@
         state.drop_order(task, run);
         state.send(ToLeader::Rejected { incarnation, task, run, reason });
     }
+}
 
-    /// The fencing token and the lease deadline to start a run with; `None` if the order is no longer current. The
-    /// deadline is `None` while the lease cannot be extended or the endpoint refuses connections.
-    fn start_terms(&self, incarnation: u64, task: TaskRef, run: u32) -> Option<(u64, Option<u64>)> {
-        let mut state = self.state.borrow_mut();
-        let is_current = state.incarnation == Some(incarnation)
-            && !state.endpoint_lost
-            && state.orders.get(&task).is_some_and(|order| order.run == run && !order.stopping);
-        let now = self.clock.now();
-        is_current.then(|| (state.token, if state.is_refusing(now) { None } else { state.deadline(now) }))
+impl State {
+    /// Decides on the next attempt to start a run. The order was checked when it arrived, and each attempt checks again
+    /// what may have changed since. `unanswered` says whether the endpoint has left an attempt unanswered.
+    fn next_attempt(
+        &mut self,
+        incarnation: u64,
+        task: TaskRef,
+        run: u32,
+        unanswered: bool,
+        now: TimeMs,
+    ) -> NextAttempt {
+        let is_current = self.incarnation == Some(incarnation)
+            && !self.endpoint_lost
+            && self.orders.get(&task).is_some_and(|order| order.run == run && !order.stopping);
+        if !is_current {
+            return NextAttempt::Settled;
+        }
+        if self.running.get(&task).is_some_and(|running| running.run == run) {
+            self.record_start(incarnation, task, run, now);
+            return NextAttempt::Settled;
+        }
+        if self.shutting_down && unanswered {
+            // The next agent process learns from the endpoint whether the run exists.
+            return NextAttempt::Settled;
+        }
+        if self.shutting_down || self.is_leaving() {
+            return NextAttempt::Withdraw(Rejection::Unhealthy);
+        }
+        // An endpoint that has not announced itself to this process may be draining.
+        if self.info.is_none() || self.is_refusing(now) {
+            return NextAttempt::Later;
+        }
+        let Some(deadline_ms) = self.deadline(now) else { return NextAttempt::Later };
+        if !self.has_room(task) {
+            return NextAttempt::Withdraw(Rejection::NoRoom);
+        }
+        NextAttempt::Send { token: self.token, deadline_ms }
     }
 }
--- /dev/null
+++ b/crates/fleet/tests/starts.rs
@@ -0,0 +1,131 @@
+//! Tests of the facts that an agent checks at the last moment before it sends a start: they may have changed since the
+//! leader gave the order.
+
+mod support;
+
+use std::rc::Rc;
+
+use fescuelead_core::jobs::HostInfo;
+use fescuelead_fleet::{agent::Agent, message::ToLeader};
+use support::{
+    MemoryEndpoint,
+    session::{Leader, TASK, info, run_local, start_agent, start_agent_without_announcement},
+};
+
+/// How long an endpoint is mute before orders are held back, in milliseconds: a report call in flight is still answered.
+const HOLD_BACK_MS: u64 = 2_400;
+
+fn rejected(received: &[ToLeader], rejected_run: u32) -> bool {
+    received
+        .iter()
+        .any(|message| matches!(message, ToLeader::Rejected { task, run, .. } if (*task, *run) == (TASK, rejected_run)))
+}
+
+fn announce_draining(agent: &Rc<Agent>) {
+    agent.handle_announcement(Some(1), HostInfo { draining: true, ..info() });
+}
+
+/// Guards against a start seconds after the endpoint has announced that it drains: the order arrived before and was held
+/// back while the endpoint did not answer. The leader must hear at once that it was not sent.
+#[tokio::test(start_paused = true)]
+async fn an_order_that_was_held_back_is_rejected_once_the_endpoint_drains() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = start_agent(&endpoint).await;
+        let mut leader = Leader::connect(&agent, 1).await;
+        leader.receive_for(600).await;
+        endpoint.silent.set(true);
+        leader.receive_for(HOLD_BACK_MS).await;
+        leader.start(1).await;
+        let received = leader.receive_for(200).await;
+        assert!(!rejected(&received, 1), "rejected before the endpoint drains: {received:?}");
+        announce_draining(&agent);
+        let received = leader.receive_for(200).await;
+        assert!(rejected(&received, 1), "{received:?}");
+        endpoint.silent.set(false);
+        leader.receive_for(3_000).await;
+        assert!(endpoint.started.borrow().is_empty());
+    })
+    .await;
+}
+
+/// Guards against a start seconds after the endpoint has announced that it drains, by the repetition of an unanswered
+/// start. An attempt may still take effect, so the leader must not hear of a rejection before the run was stopped.
+#[tokio::test(start_paused = true)]
+async fn an_unanswered_start_is_stopped_once_the_endpoint_drains() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = start_agent(&endpoint).await;
+        let mut leader = Leader::connect(&agent, 1).await;
+        leader.receive_for(600).await;
+        endpoint.silent.set(true);
+        leader.start(1).await;
+        leader.receive_for(700).await;
+        announce_draining(&agent);
+        let received = leader.receive_for(700).await;
+        assert!(!rejected(&received, 1), "an attempt may still take effect: {received:?}");
+        endpoint.silent.set(false);
+        let received = leader.receive_for(1_000).await;
+        assert!(rejected(&received, 1), "{received:?}");
+        assert!(endpoint.started.borrow().is_empty());
+        assert!(endpoint.stopped.borrow().contains(&(TASK, 1)));
+    })
+    .await;
+}
+
+/// Guards against stopping a run that has started before its endpoint drains, only because the answer was lost.
+#[tokio::test(start_paused = true)]
+async fn a_run_that_is_listed_by_a_report_goes_on_while_the_endpoint_drains() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = start_agent(&endpoint).await;
+        let mut leader = Leader::connect(&agent, 1).await;
+        leader.receive_for(600).await;
+        endpoint.lose_starts.set(u32::MAX);
+        leader.start(1).await;
+        leader.receive_for(2_000).await;
+        announce_draining(&agent);
+        let received = leader.receive_for(2_000).await;
+        assert!(!rejected(&received, 1), "{received:?}");
+        assert!(endpoint.stopped.borrow().is_empty());
+        assert_eq!(*endpoint.started.borrow(), [(TASK, 1)]);
+    })
+    .await;
+}
+
+/// Guards against a start after the endpoint has announced its departure.
+#[tokio::test(start_paused = true)]
+async fn an_order_on_a_departing_endpoint_is_rejected() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = start_agent(&endpoint).await;
+        let mut leader = Leader::connect(&agent, 1).await;
+        leader.receive_for(600).await;
+        agent.handle_departure();
+        leader.start(1).await;
+        let received = leader.receive_for(200).await;
+        assert!(rejected(&received, 1), "{received:?}");
+        assert!(endpoint.started.borrow().is_empty());
+    })
+    .await;
+}
+
+/// Guards against a start on a draining endpoint by a new agent process, which has not heard of the draining yet.
+#[tokio::test(start_paused = true)]
+async fn a_new_agent_sends_no_start_before_its_endpoint_has_announced_itself() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = start_agent_without_announcement(&endpoint).await;
+        let mut leader = Leader::connect(&agent, 1).await;
+        leader.receive_for(600).await;
+        leader.start(1).await;
+        leader.receive_for(1_000).await;
+        assert!(endpoint.started.borrow().is_empty(), "the endpoint may be draining");
+        announce_draining(&agent);
+        let received = leader.receive_for(200).await;
+        assert!(rejected(&received, 1), "{received:?}");
+        leader.receive_for(1_000).await;
+        assert!(endpoint.started.borrow().is_empty());
+    })
+    .await;
+}
