Let orders to start a run expire

Cause: an order that is held back while its endpoint is mute stays in force until the endpoint's lease has ended, 5.25 s with a longest lease of 6 s and 9.25 s with one of 10 s. In that time its availability zone may be taken out of service, of which agents do not hear, or the leader may count the host as lost, assign the task elsewhere, and then grant a lease in the next session before it has compared the runs.

An order expires 2.5 s after it arrived, half of the time within which starts in such a zone have to end. After another session was opened it waits until its leader repeats it, which leaders do for every run that is still assigned. A withdrawn order is rejected at once or after a stop, as on a draining endpoint.

Evidence: an_order_is_rejected_if_the_endpoint_does_not_announce_itself, an_order_that_was_held_back_for_too_long_is_rejected and an_order_of_an_earlier_session_waits_until_it_is_given_again (crates/fleet/tests/starts.rs) failed before, at their last assertions but one or two. cargo test -p fescuelead-fleet passes.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -71,6 +71,17 @@
     started_at: Option<TimeMs>,
     /// The share of its full speed that was last set for the run, in percent.
     paced_percent: u8,
+    validity: Validity,
+}
+
+/// Until when an order may be sent to the endpoint. After that the facts behind it may have changed unnoticed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Validity {
+    /// The number of the session in which the order was last given. The leader of a later session may have assigned the
+    /// task to another host.
+    session: u64,
+    /// When the order expires unless it is given again.
+    expires_at: TimeMs,
 }
 
 struct State {
@@ -109,6 +120,8 @@
     /// When the last message of a leader arrived.
     leader_heard_at: TimeMs,
     session: Option<mpsc::UnboundedSender<ToLeader>>,
+    /// The number of sessions that were opened.
+    session_number: u64,
     calls_in_flight: usize,
     shutting_down: bool,
 }
@@ -170,6 +183,7 @@
             epoch: 0,
             leader_heard_at: now,
             session: None,
+            session_number: 0,
             calls_in_flight: 0,
             shutting_down: false,
         };
@@ -259,6 +273,7 @@
         state.epoch = epoch;
         let (sender, receiver) = mpsc::unbounded_channel();
         state.session = Some(sender);
+        state.session_number += 1;
         state.repeat_crashes();
         state.send_snapshot();
         Ok(receiver)
--- a/crates/fleet/src/agent/starts.rs
+++ b/crates/fleet/src/agent/starts.rs
@@ -8,12 +8,16 @@
 };
 use tokio::{task::spawn_local, time::sleep};
 
-use super::{ANSWER_TIMEOUT_MS, Agent, Order, RETRY_INTERVAL_MS, State};
+use super::{ANSWER_TIMEOUT_MS, Agent, Order, RETRY_INTERVAL_MS, State, Validity};
 use crate::{
     endpoint::{EndpointError, StartAnswer, StartOrder},
     message::{Start, ToLeader},
 };
 
+/// How long an order that has not started may be sent, in milliseconds after its arrival: half of the time in which no
+/// start may follow the removal of an availability zone, of which agents do not hear.
+const ORDER_VALIDITY_MS: u64 = 2_500;
+
 /// What to do next about an order to start a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum NextAttempt {
@@ -48,8 +52,9 @@
             return;
         }
         let is_running = state.running.get(&start.task).is_some_and(|running| running.run == start.run);
-        let is_ordered = state.orders.get(&start.task).is_some_and(|order| order.run == start.run);
-        if is_ordered {
+        let validity = state.order_validity(self.clock.now());
+        if let Some(order) = state.orders.get_mut(&start.task).filter(|order| order.run == start.run) {
+            order.validity = validity;
             return;
         }
         if !is_running && (state.shutting_down || state.is_leaving()) {
@@ -64,6 +69,7 @@
             stopping: false,
             started_at: None,
             paced_percent: 100,
+            validity,
         };
         state.orders.insert(start.task, order);
         drop(state);
@@ -139,6 +145,11 @@
 }
 
 impl State {
+    /// The validity of an order that the leader gives now.
+    pub(super) fn order_validity(&self, now: TimeMs) -> Validity {
+        Validity { session: self.session_number, expires_at: now.plus_ms(ORDER_VALIDITY_MS) }
+    }
+
     /// Decides on the next attempt to start a run. The order was checked when it arrived, and each attempt checks again
     /// what may have changed since. `unanswered` says whether the endpoint has left an attempt unanswered.
     fn next_attempt(
@@ -149,12 +160,12 @@
         unanswered: bool,
         now: TimeMs,
     ) -> NextAttempt {
-        let is_current = self.incarnation == Some(incarnation)
-            && !self.endpoint_lost
-            && self.orders.get(&task).is_some_and(|order| order.run == run && !order.stopping);
-        if !is_current {
+        let order = self.orders.get(&task).filter(|order| order.run == run && !order.stopping);
+        let Some(order) = order.filter(|_| self.incarnation == Some(incarnation) && !self.endpoint_lost) else {
             return NextAttempt::Settled;
-        }
+        };
+        let is_expired = order.validity.expires_at <= now;
+        let is_of_this_session = order.validity.session == self.session_number;
         if self.running.get(&task).is_some_and(|running| running.run == run) {
             self.record_start(incarnation, task, run, now);
             return NextAttempt::Settled;
@@ -163,11 +174,12 @@
             // The next agent process learns from the endpoint whether the run exists.
             return NextAttempt::Settled;
         }
-        if self.shutting_down || self.is_leaving() {
+        if self.shutting_down || self.is_leaving() || is_expired {
             return NextAttempt::Withdraw(Rejection::Unhealthy);
         }
-        // An endpoint that has not announced itself to this process may be draining.
-        if self.info.is_none() || self.is_refusing(now) {
+        // The leader of this session may have assigned the task elsewhere, and orders the start again if it has not. An
+        // endpoint that has not announced itself to this process may be draining.
+        if !is_of_this_session || self.info.is_none() || self.is_refusing(now) {
             return NextAttempt::Later;
         }
         let Some(deadline_ms) = self.deadline(now) else { return NextAttempt::Later };
--- a/crates/fleet/src/agent/stops.rs
+++ b/crates/fleet/src/agent/stops.rs
@@ -16,6 +16,7 @@
     pub(super) fn handle_stop(self: &Rc<Self>, task: TaskRef, run: u32) {
         let mut state = self.state.borrow_mut();
         let Some(incarnation) = state.incarnation else { return };
+        let validity = state.order_validity(self.clock.now());
         let order = state.orders.entry(task).or_insert(Order {
             run,
             resources: Resources::ZERO,
@@ -25,6 +26,7 @@
             stopping: false,
             started_at: None,
             paced_percent: 100,
+            validity,
         });
         if order.run != run || std::mem::replace(&mut order.stopping, true) {
             return;
--- a/crates/fleet/tests/starts.rs
+++ b/crates/fleet/tests/starts.rs
@@ -129,3 +129,66 @@
     })
     .await;
 }
+
+/// Guards against a task that is never started: the endpoint of a new agent process answers calls and sends no heartbeats.
+#[tokio::test(start_paused = true)]
+async fn an_order_is_rejected_if_the_endpoint_does_not_announce_itself() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = start_agent_without_announcement(&endpoint).await;
+        let mut leader = Leader::connect(&agent, 1).await;
+        leader.receive_for(600).await;
+        leader.start(1).await;
+        let received = leader.receive_for(3_000).await;
+        assert!(rejected(&received, 1), "{received:?}");
+        assert!(endpoint.started.borrow().is_empty());
+    })
+    .await;
+}
+
+/// Guards against a start in an availability zone that was taken out of service meanwhile: the agent does not hear of it,
+/// so an order is only good for a limited time.
+#[tokio::test(start_paused = true)]
+async fn an_order_that_was_held_back_for_too_long_is_rejected() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = start_agent(&endpoint).await;
+        let mut leader = Leader::connect(&agent, 1).await;
+        leader.receive_for(600).await;
+        endpoint.silent.set(true);
+        leader.receive_for(HOLD_BACK_MS).await;
+        leader.start(1).await;
+        let received = leader.receive_for(3_000).await;
+        assert!(rejected(&received, 1), "{received:?}");
+        endpoint.silent.set(false);
+        leader.receive_for(1_000).await;
+        assert!(endpoint.started.borrow().is_empty());
+    })
+    .await;
+}
+
+/// Guards against running a task twice: the leader has counted the host as lost and started the task elsewhere, and the
+/// host gets a lease again in the next session, before it is told to stop the run.
+#[tokio::test(start_paused = true)]
+async fn an_order_of_an_earlier_session_waits_until_it_is_given_again() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = start_agent(&endpoint).await;
+        let mut first = Leader::connect(&agent, 1).await;
+        first.receive_for(600).await;
+        endpoint.silent.set(true);
+        first.receive_for(HOLD_BACK_MS).await;
+        first.start(1).await;
+        first.receive_for(200).await;
+        drop(first);
+        let mut second = Leader::connect(&agent, 2).await;
+        second.receive_for(200).await;
+        endpoint.silent.set(false);
+        second.receive_for(1_000).await;
+        assert!(endpoint.started.borrow().is_empty(), "the next leader may have assigned the task to another host");
+        second.start(1).await;
+        second.receive_for(200).await;
+        assert_eq!(*endpoint.started.borrow(), [(TASK, 1)]);
+    })
+    .await;
+}
