Bound how late a start may be carried out

An endpoint that carries a call out late starts the run for as long, whatever has happened since: a drain, the removal of a zone, a cancellation.

A start now carries a deadline of at most 1 s, and of at most half of the drain period (bounds.drain_ms).

Evidence: a_start_that_is_carried_out_late_has_no_effect (crates/fleet/tests/starts.rs) failed before at its assertion.

--- a/crates/core/src/jobs/lease.rs
+++ b/crates/core/src/jobs/lease.rs
@@ -18,6 +18,9 @@
 /// How slow an endpoint's clock may be, in percent; the platform guarantees this bound.
 pub const CLOCK_DRIFT_PERCENT: u64 = 2;
 
+/// How long a start may take effect after it was sent, in milliseconds: longer than a call to the endpoint may last.
+const MAX_START_VALIDITY_MS: u64 = 1_000;
+
 /// Added to the time after which an unreachable host counts as lost, in milliseconds: one tick of the leader and one of
 /// the endpoint.
 pub const TICK_MARGIN_MS: u64 = 250;
@@ -30,6 +33,8 @@
         pub grant_ms: u64,
         /// How long a response of the store proves leadership, in milliseconds after the call was sent.
         pub proof_ms: u64,
+        /// How long a start may take effect on an endpoint, in milliseconds after the agent sent it.
+        pub start_validity_ms: u64,
     }
 }
 
@@ -39,7 +44,13 @@
     /// store, and short enough that a leader without access to the store is replaced before the grants expire.
     pub fn new(max_lease_ms: u64) -> Self {
         let grant_ms = max_lease_ms.saturating_sub(1_000).max(max_lease_ms / 2);
-        Self { grant_ms, proof_ms: grant_ms * 2 / 5 }
+        Self { grant_ms, proof_ms: grant_ms * 2 / 5, start_validity_ms: MAX_START_VALIDITY_MS }
+    }
+
+    /// Ends the validity of starts in the first half of `drain_ms`, the time in milliseconds within which the last start
+    /// has to take effect after an endpoint has announced that it drains.
+    pub fn with_drain_period(self, drain_ms: u64) -> Self {
+        Self { start_validity_ms: self.start_validity_ms.min(drain_ms / 2), ..self }
     }
 
     /// The time from which no task of a host can be running, if this leader last answered the host's requests at
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -89,8 +89,12 @@
     incarnation: Option<u64>,
     info: Option<HostInfo>,
     authority: AgentLease,
+    /// How long a start may take effect after it was sent, in milliseconds.
+    start_validity_ms: u64,
     /// The latest time at which the lease on the endpoint may end.
     lease_end: TimeMs,
+    /// Up to when answered report calls have extended the lease, in milliseconds on the endpoint's clock.
+    confirmed_lease_end_ms: u64,
     /// The endpoint's clock in its latest report, in milliseconds, and when that report arrived.
     endpoint_clock: Option<(u64, TimeMs)>,
     last_answer_at: TimeMs,
@@ -164,8 +168,10 @@
             incarnation: None,
             info: None,
             authority: AgentLease::new(now),
+            start_validity_ms: plan.start_validity_ms,
             // An earlier agent process may have extended the lease just before it ended.
             lease_end: now.plus_ms(plan.grant_ms),
+            confirmed_lease_end_ms: 0,
             endpoint_clock: None,
             last_answer_at: now,
             down_since: None,
@@ -320,7 +326,7 @@
     async fn renew_lease(self: Rc<Self>) {
         loop {
             let sent_at = self.clock.now();
-            let (token, deadline, seen, wait_ms, first_sign) = {
+            let (token, incarnation, deadline, seen, wait_ms, first_sign) = {
                 let mut state = self.state.borrow_mut();
                 let deadline = state.deadline(sent_at);
                 let serving = state.orders.values().any(|order| order.tail_target_ms.is_some());
@@ -330,7 +336,8 @@
                     () if serving => SERVING_REPORT_WAIT_MS,
                     () => REPORT_WAIT_MS,
                 };
-                (state.token, deadline, state.forget_up_to, wait_ms, state.failing_since.unwrap_or(sent_at))
+                let first_sign = state.failing_since.unwrap_or(sent_at);
+                (state.token, state.incarnation, deadline, state.forget_up_to, wait_ms, first_sign)
             };
             let answer = self
                 .call("report", wait_ms + ANSWER_TIMEOUT_MS, self.endpoint.report(token, deadline, seen, wait_ms))
@@ -338,6 +345,9 @@
             match answer {
                 Ok(Some(report)) => {
                     self.apply_report(report, sent_at, first_sign);
+                    if let Some(deadline_ms) = deadline {
+                        self.state.borrow_mut().confirm_lease(incarnation, deadline_ms);
+                    }
                     let unstored = !self.state.borrow().ends.is_empty();
                     if unstored {
                         let waited =
@@ -493,6 +503,13 @@
         Some(self.authority.deadline_ms(clock_ms, seen))
     }
 
+    /// Notes that the endpoint has answered a report call with this deadline, which was computed for `incarnation`.
+    fn confirm_lease(&mut self, incarnation: Option<u64>, deadline_ms: u64) {
+        if self.incarnation == incarnation {
+            self.confirmed_lease_end_ms = self.confirmed_lease_end_ms.max(deadline_ms);
+        }
+    }
+
     fn drop_order(&mut self, task: TaskRef, run: u32) {
         if self.orders.get(&task).is_some_and(|order| order.run == run) {
             self.orders.remove(&task);
--- a/crates/fleet/src/agent/crash.rs
+++ b/crates/fleet/src/agent/crash.rs
@@ -112,6 +112,7 @@
         state.ends.clear();
         state.forget_up_to = 0;
         state.endpoint_clock = None;
+        state.confirmed_lease_end_ms = 0;
         state.endpoint_lost = false;
         state.departing = false;
         state.report_sent_at = TimeMs::default();
--- a/crates/fleet/src/agent/starts.rs
+++ b/crates/fleet/src/agent/starts.rs
@@ -3,12 +3,12 @@
 use std::{rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{Rejection, TaskRef},
+    jobs::{Rejection, TaskRef, lease::AgentLease},
     units::TimeMs,
 };
 use tokio::{task::spawn_local, time::sleep};
 
-use super::{ANSWER_TIMEOUT_MS, Agent, Order, RETRY_INTERVAL_MS, State, Validity};
+use super::{ANSWER_TIMEOUT_MS, Agent, Order, REPORT_WAIT_MS, RETRY_INTERVAL_MS, State, Validity};
 use crate::{
     endpoint::{EndpointError, StartAnswer, StartOrder},
     message::{Start, ToLeader},
@@ -25,7 +25,7 @@
     Send {
         /// The fencing token of the call.
         token: u64,
-        /// The time up to which the call extends the lease, in milliseconds on the endpoint's clock.
+        /// The time after which the call has no effect, in milliseconds on the endpoint's clock.
         deadline_ms: u64,
     },
     /// Decide again after a pause.
@@ -182,10 +182,26 @@
         if !is_of_this_session || self.info.is_none() || self.is_refusing(now) {
             return NextAttempt::Later;
         }
-        let Some(deadline_ms) = self.deadline(now) else { return NextAttempt::Later };
+        let Some(deadline_ms) = self.start_deadline(now) else { return NextAttempt::Later };
         if !self.has_room(task) {
             return NextAttempt::Withdraw(Rejection::NoRoom);
         }
         NextAttempt::Send { token: self.token, deadline_ms }
     }
+
+    /// The time after which a start that is sent now has no effect, in milliseconds on the endpoint's clock; `None` while
+    /// the lease cannot be extended. It bounds how late an endpoint carries out a start that was called off since.
+    ///
+    /// The lease of the run comes from the report calls. Only if theirs may end before the next one, the start itself
+    /// extends the lease and so may take effect until the end of it.
+    fn start_deadline(&mut self, now: TimeMs) -> Option<u64> {
+        let lease_deadline_ms = self.deadline(now)?;
+        let (clock_ms, seen) = self.endpoint_clock?;
+        let next_report_ms = clock_ms + now.since_ms(seen) + REPORT_WAIT_MS + ANSWER_TIMEOUT_MS;
+        if self.confirmed_lease_end_ms < next_report_ms {
+            return Some(lease_deadline_ms);
+        }
+        let valid_until = AgentLease::new(now.plus_ms(self.start_validity_ms));
+        Some(lease_deadline_ms.min(valid_until.deadline_ms(clock_ms, seen)))
+    }
 }
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -12,8 +12,8 @@
     pub run: u32,
     /// The job's payload, which only the task interprets.
     pub payload: String,
-    /// The time up to which the lease of the whole endpoint is extended at least, in milliseconds on the endpoint's
-    /// clock.
+    /// The time after which the order has no effect, in milliseconds on the endpoint's clock. The lease of the whole endpoint
+    /// is extended up to then at least.
     pub deadline_ms: u64,
     /// The checkpoint to resume from; `None` to run from the beginning.
     pub checkpoint: Option<String>,
--- a/crates/fleet/tests/starts.rs
+++ b/crates/fleet/tests/starts.rs
@@ -9,7 +9,7 @@
 use fescuelead_fleet::{agent::Agent, message::ToLeader};
 use support::{
     MemoryEndpoint,
-    session::{Leader, TASK, info, run_local, start_agent, start_agent_without_announcement},
+    session::{GRANT_MS, Leader, TASK, info, run_local, start_agent, start_agent_without_announcement},
 };
 
 /// How long an endpoint is mute before orders are held back, in milliseconds: a report call in flight is still answered.
@@ -192,3 +192,42 @@
     })
     .await;
 }
+
+/// Guards against a start seconds after it was sent, by an endpoint that carries calls out late: the deadline of a start
+/// bounds when it takes effect, also while the lease of the endpoint lasts longer.
+#[tokio::test(start_paused = true)]
+async fn a_start_that_is_carried_out_late_has_no_effect() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = start_agent(&endpoint).await;
+        let mut leader = Leader::connect(&agent, 1).await;
+        leader.receive_for(3_000).await;
+        endpoint.delay_starts_ms.set(1_500);
+        leader.start(1).await;
+        leader.receive_for(200).await;
+        endpoint.delay_starts_ms.set(0);
+        endpoint.silent.set(true);
+        announce_draining(&agent);
+        leader.receive_for(3_000).await;
+        assert!(endpoint.started.borrow().is_empty());
+    })
+    .await;
+}
+
+/// Guards against runs that lapse with the deadline of their start, which is shorter than a lease.
+#[tokio::test(start_paused = true)]
+async fn the_lease_of_a_run_outlasts_the_deadline_of_its_start() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = start_agent(&endpoint).await;
+        let mut leader = Leader::connect(&agent, 1).await;
+        leader.receive_for(600).await;
+        leader.start(1).await;
+        leader.receive_for(50).await;
+        for _ in 0..50 {
+            leader.receive_for(100).await;
+            assert!(endpoint.lease_end_ms() > endpoint.clock_ms() + GRANT_MS / 2);
+        }
+    })
+    .await;
+}
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -216,6 +216,8 @@
     pub refuse_starts: Rc<Cell<u32>>,
     /// The number of next starts that have no effect because they name another incarnation.
     pub misdirect_starts: Rc<Cell<u32>>,
+    /// How long after their arrival starts are carried out, in milliseconds. They get no answer unless this is 0.
+    pub delay_starts_ms: Rc<Cell<u64>>,
     /// How long the answer of a report call is under way, in milliseconds.
     pub late_reports_ms: Rc<Cell<u64>>,
     /// All runs that were started, in order.
@@ -303,12 +305,8 @@
         state.token = state.token.max(token);
         accepted
     }
-}
 
-#[async_trait(?Send)]
-impl Endpoint for MemoryEndpoint {
-    async fn start(&self, token: u64, order: &StartOrder) -> Result<StartAnswer, EndpointError> {
-        self.simulate_call().await?;
+    fn carry_out_start(&self, token: u64, order: &StartOrder) -> Result<StartAnswer, EndpointError> {
         if self.misdirect_starts.get() > 0 {
             self.misdirect_starts.set(self.misdirect_starts.get() - 1);
             return Ok(StartAnswer::OtherIncarnation);
@@ -320,6 +318,9 @@
             self.refuse_starts.set(self.refuse_starts.get() - 1);
             return Ok(StartAnswer::Rejected(fescuelead_core::jobs::Rejection::Unhealthy));
         }
+        if order.deadline_ms <= self.clock_ms() {
+            return Ok(StartAnswer::Late);
+        }
         let mut state = self.state.borrow_mut();
         let is_running = state.runs.get(&order.task) == Some(&order.run);
         if !is_running && state.highest_run.get(&order.task).is_some_and(|&run| run >= order.run) {
@@ -337,6 +338,24 @@
         }
         Ok(StartAnswer::Started)
     }
+}
+
+#[async_trait(?Send)]
+impl Endpoint for MemoryEndpoint {
+    async fn start(&self, token: u64, order: &StartOrder) -> Result<StartAnswer, EndpointError> {
+        self.simulate_call().await?;
+        if self.delay_starts_ms.get() > 0 {
+            let (endpoint, order, delay) =
+                (self.clone(), order.clone(), Duration::from_millis(self.delay_starts_ms.get()));
+            tokio::task::spawn_local(async move {
+                sleep(delay).await;
+                // Nobody waits for the answer.
+                drop(endpoint.carry_out_start(token, &order));
+            });
+            std::future::pending::<()>().await;
+        }
+        self.carry_out_start(token, order)
+    }
 
     async fn stop(&self, token: u64, task: TaskRef, run: u32) -> Result<bool, EndpointError> {
         self.simulate_call().await?;
