Send no start to hosts that were closed since the decision

Cause: a start is decided, stored and sent later, and given again when a session is opened. Only whether the run is still assigned was looked at again, not whether its host drains or its availability zone is out of service. An agent also reported an order that it had never sent to its endpoint as a run, so that the next session gave it again in any case.

The leader checks both before it sends a start and when it compares the runs of a host. It then stops the run instead, which the agent answers with a rejection once the run can no longer start. Agents leave orders that they have never sent out of their reports.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -34,7 +34,8 @@
     progress::{JobProgress, Phase, TaskState},
     replica::{JobStatus, Replica},
     scheduler::{
-        Batch, CountedCrash, Effect, Moment, Rejection, RunEnd, RunOutcome, SUSPECT_AGE_MS, Scheduler, TRIAL_MS,
+        Batch, CountedCrash, Effect, Moment, Rejection, RunEnd, RunOutcome, SUSPECT_AGE_MS, Scheduler, StartCheck,
+        TRIAL_MS,
     },
     spec::{JobId, JobSpec, QueueSettings, StepSpec, TaskRef},
 };
--- a/crates/core/src/jobs/hosts.rs
+++ b/crates/core/src/jobs/hosts.rs
@@ -243,6 +243,13 @@
         self.info.as_ref().is_some_and(|info| !self.used.fits_in(&info.capacity))
     }
 
+    /// Whether runs that were assigned to the host may still start there. `true` if its endpoint has not announced itself:
+    /// its agent then holds starts back.
+    pub fn takes_starts(&self, zones_out: &BTreeSet<String>) -> bool {
+        let is_closed = |info: &HostInfo| info.draining || zones_out.contains(&info.availability_zone);
+        !self.is_overcommitted() && !self.info.as_ref().is_some_and(is_closed)
+    }
+
     /// Whether this host is eligible for a task of `step`. Ignores the processors that background tasks request; see
     /// [`Self::background_fit`].
     pub fn can_run(&self, task: &TaskRef, step: &StepSpec, service: &str, zones_out: &BTreeSet<String>) -> bool {
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -32,6 +32,7 @@
 pub(super) use crashes::QUIET_MS;
 pub use crashes::{CountedCrash, SUSPECT_AGE_MS, TRIAL_MS};
 use order::{MeanWork, ReadyKey, StepRef, Urgency};
+pub use sessions::StartCheck;
 
 plain! {
     /// The current time on the monotonic clock and on the wall clock.
@@ -97,6 +98,8 @@
             spec: Arc<JobSpec>,
             /// The checkpoint to resume from; absent for a start from the beginning.
             checkpoint: Option<String>,
+            /// Whether the host has reported the run, so that the command only describes it again.
+            reported: bool,
         },
         /// Stop a run, or prevent it from starting later if it does not exist yet.
         Stop {
@@ -298,8 +301,8 @@
 
     /// Reconciles the runs that a host reports with those assigned to it, after the host has reported all ends of runs.
     /// Unknown runs are stopped; assigned runs are started, or their description is sent again. A run that is missing on a
-    /// host with more committed than it has is stopped: an earlier order may still start it, so that its task goes elsewhere
-    /// only after the host has confirmed the stop.
+    /// host on which no run may start any more is stopped: an earlier order may still start it, so that its task goes
+    /// elsewhere only after the host has confirmed the stop.
     pub fn reconcile_host(&mut self, name: &HostName, incarnation: u64, running: &[(TaskRef, u32)], now: Moment) {
         if self.hosts.get(name).is_some_and(|host| host.incarnation != Some(incarnation)) {
             self.host_lost(name, now);
@@ -309,15 +312,15 @@
         host.reconciled = true;
         // A stop command of the previous session may have been lost.
         host.tasks.values_mut().for_each(|placed| placed.moving = false);
-        let overcommitted = host.is_overcommitted();
+        let takes_starts = host.takes_starts(&self.zones_out);
         let placed: Vec<_> = host.tasks.iter().map(|(task, placed)| (*task, placed.run)).collect();
         for (task, run) in placed {
             let job = self.jobs.get(&task.job);
             let current = job.and_then(|job| Some((job, job.progress.task(&task)?)));
             match current {
                 Some((job, progress)) if progress.is_assigned_to(name, incarnation, run) => {
-                    let is_missing = !running.contains(&(task, run));
-                    if job.progress.phase == Phase::Active && !(overcommitted && is_missing) {
+                    let reported = running.contains(&(task, run));
+                    if job.progress.phase == Phase::Active && (reported || takes_starts) {
                         self.effects.push(Effect::Start {
                             host: name.clone(),
                             incarnation,
@@ -325,6 +328,7 @@
                             run,
                             spec: job.spec.clone(),
                             checkpoint: progress.checkpoint.clone(),
+                            reported,
                         });
                     } else {
                         self.effects.push(Effect::Stop { host: name.clone(), task, run });
--- a/crates/core/src/jobs/scheduler/placing.rs
+++ b/crates/core/src/jobs/scheduler/placing.rs
@@ -354,6 +354,7 @@
         job.progress.begun = true;
         host.record_assignment(job.progress.is_on_trial(task, step.gang), now);
         self.changed.insert(task.job);
-        self.effects.push(Effect::Start { host: name, incarnation, task: *task, run, spec: spec.clone(), checkpoint });
+        let (spec, reported) = (spec.clone(), false);
+        self.effects.push(Effect::Start { host: name, incarnation, task: *task, run, spec, checkpoint, reported });
     }
 }
--- a/crates/core/src/jobs/scheduler/sessions.rs
+++ b/crates/core/src/jobs/scheduler/sessions.rs
@@ -9,6 +9,20 @@
     units::TimeMs,
 };
 
+plain! {
+    /// What to do with a start that is about to be sent to a host.
+    #[derive(Copy)]
+    pub enum StartCheck {
+        /// Send it.
+        Send,
+        /// Stop the run instead, so that its task goes to another host: no run may start on this one any more.
+        Stop,
+        /// Send nothing: the run is not assigned to the host, or the host has not reported its runs in the open session. The
+        /// start is then out of date, or is sent when the host is reconciled.
+        Drop,
+    }
+}
+
 impl Scheduler {
     /// Adds a host without a session, unless it is known already.
     pub fn host_discovered(&mut self, host: &HostName) {
@@ -40,11 +54,21 @@
         host.reconciled = false;
     }
 
-    /// Whether a start may be sent to a host: the run is assigned to it, and the host has reported its runs in the open
-    /// session. Otherwise the start is out of date, or is sent when the host is reconciled.
-    pub fn may_send_start(&self, name: &HostName, incarnation: u64, task: &TaskRef, run: u32) -> bool {
-        let is_reconciled = self.hosts.get(name).is_some_and(|host| host.link == Link::Connected && host.reconciled);
-        is_reconciled && self.is_assigned(name, incarnation, task, run)
+    /// Checks a start just before it is sent: since it was decided, its records were stored, which may have taken long.
+    /// `reported` says whether the host has reported the run.
+    pub fn check_start(
+        &self,
+        name: &HostName,
+        incarnation: u64,
+        task: &TaskRef,
+        run: u32,
+        reported: bool,
+    ) -> StartCheck {
+        let host = self.hosts.get(name).filter(|host| host.link == Link::Connected && host.reconciled);
+        let Some(host) = host.filter(|_| self.is_assigned(name, incarnation, task, run)) else {
+            return StartCheck::Drop;
+        };
+        if reported || host.takes_starts(&self.zones_out) { StartCheck::Send } else { StartCheck::Stop }
     }
 
     /// Whether a run is the one that is assigned to this incarnation of a host's endpoint.
--- a/crates/core/tests/jobs_explorer.rs
+++ b/crates/core/tests/jobs_explorer.rs
@@ -13,7 +13,7 @@
 use fescuelead_core::{
     jobs::{
         Batch, Effect, HostInfo, JobId, JobProgress, JobSpec, JobStatus, Moment, QueueSettings, Rejection, Replica,
-        RunEnd, RunOutcome, Scheduler, StepSpec, TaskRef, lease::LeasePlan, pace::Paces,
+        RunEnd, RunOutcome, Scheduler, StartCheck, StepSpec, TaskRef, lease::LeasePlan, pace::Paces,
     },
     units::{Resources, TimeMs},
 };
@@ -289,9 +289,9 @@
     fn apply(&mut self, batch: Batch) {
         self.store(batch.records);
         for effect in batch.effects {
-            if let Effect::Start { host, incarnation, task, run, .. } = &effect
+            if let Effect::Start { host, incarnation, task, run, reported, .. } = &effect
                 && self.bug != InjectedBug::SendOutdatedStarts
-                && !self.scheduler.may_send_start(host, *incarnation, task, *run)
+                && self.scheduler.check_start(host, *incarnation, task, *run, *reported) != StartCheck::Send
             {
                 continue;
             }
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -67,6 +67,8 @@
     tail_target_ms: Option<u32>,
     image: Option<String>,
     stopping: bool,
+    /// Whether the endpoint may know of the run.
+    sent: bool,
     /// When the endpoint answered the start; None before.
     started_at: Option<TimeMs>,
     /// The share of its full speed that was last set for the run, in percent.
@@ -488,7 +490,9 @@
             self.send(ToLeader::Ended { incarnation, ended });
         }
         let mut running: BTreeMap<_, _> = self.running.iter().map(|(&task, running)| (task, running.run)).collect();
-        running.extend(self.orders.iter().map(|(&task, order)| (task, order.run)));
+        // Orders that were never sent to the endpoint are left out: the leader decides anew whether to start them.
+        let sent = self.orders.iter().filter(|(_, order)| order.sent || order.stopping);
+        running.extend(sent.map(|(&task, order)| (task, order.run)));
         self.send(ToLeader::Runs { incarnation, running: running.into_iter().collect() });
     }
 
--- a/crates/fleet/src/agent/starts.rs
+++ b/crates/fleet/src/agent/starts.rs
@@ -67,6 +67,7 @@
             tail_target_ms: start.tail_target_ms,
             image: start.image.clone(),
             stopping: false,
+            sent: is_running,
             started_at: None,
             paced_percent: 100,
             validity,
@@ -186,6 +187,9 @@
         if !self.has_room(task) {
             return NextAttempt::Withdraw(Rejection::NoRoom);
         }
+        if let Some(order) = self.orders.get_mut(&task) {
+            order.sent = true;
+        }
         NextAttempt::Send { token: self.token, deadline_ms }
     }
 
--- a/crates/fleet/src/agent/stops.rs
+++ b/crates/fleet/src/agent/stops.rs
@@ -24,6 +24,7 @@
             tail_target_ms: None,
             image: None,
             stopping: false,
+            sent: false,
             started_at: None,
             paced_percent: 100,
             validity,
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{Batch, CountedCrash, Effect, HostName, JobId, Phase, RunOutcome, Scheduler},
+    jobs::{Batch, CountedCrash, Effect, HostName, JobId, Phase, RunOutcome, Scheduler, StartCheck},
     units::TimeMs,
 };
 use tokio::{
@@ -473,14 +473,24 @@
         });
         for effect in effects {
             let (host, order) = match effect {
-                Effect::Start { host, incarnation, task, run, spec, checkpoint } => {
+                Effect::Start { host, incarnation, task, run, spec, checkpoint, reported } => {
                     let Some(step) = spec.steps.get(task.step as usize) else { continue };
-                    if !self.scheduler.may_send_start(&host, incarnation, &task, run) {
-                        log::info!(
-                            "start dropped because the run is not assigned or the host has not reported its runs: \
-                             task={task} run={run} host={host}"
-                        );
-                        continue;
+                    match self.scheduler.check_start(&host, incarnation, &task, run, reported) {
+                        StartCheck::Send => {}
+                        StartCheck::Stop => {
+                            log::info!(
+                                "start called off because the host takes no more starts: task={task} run={run} host={host}"
+                            );
+                            self.send_order(&host, ToAgent::Stop { task, run });
+                            continue;
+                        }
+                        StartCheck::Drop => {
+                            log::info!(
+                                "start dropped because the run is not assigned or the host has not reported its runs: \
+                                 task={task} run={run} host={host}"
+                            );
+                            continue;
+                        }
                     }
                     log::info!("run ordered: task={task} run={run} host={host}");
                     self.entry.config.metrics.runs_ordered.inc();
--- a/crates/fleet/tests/starts.rs
+++ b/crates/fleet/tests/starts.rs
@@ -231,3 +231,23 @@
     })
     .await;
 }
+
+/// Guards against a start in an availability zone that is out of service: an order that was never sent counts as a run in
+/// the next session, whose leader then orders it again without deciding anew.
+#[tokio::test(start_paused = true)]
+async fn an_order_that_was_never_sent_is_not_reported_as_a_run() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        let agent = start_agent(&endpoint).await;
+        let mut first = Leader::connect(&agent, 1).await;
+        first.receive_for(600).await;
+        endpoint.silent.set(true);
+        first.receive_for(HOLD_BACK_MS).await;
+        first.start(1).await;
+        first.receive_for(200).await;
+        let mut second = Leader::connect(&agent, 2).await;
+        let received = second.receive_for(200).await;
+        assert!(received.contains(&ToLeader::Runs { incarnation: 1, running: Vec::new() }), "{received:?}");
+    })
+    .await;
+}
