Store the cancellation of a job that is not known

A client hands a job in, is answered 504, and cancels it at the same entry; the DELETE is answered 410 and nothing is stored. The submission takes effect 4.6 s later, and its tasks start and stay.

Cause: an entry answered that the job does not exist as soon as it had read the store without finding it. The submission may still be under way there, through any entry, also one that has restarted since, and the store may carry it out seconds later.

The cancellation is stored before the 410. Every entry and the leader apply it to a submission that arrives later, as they already did if they read the records in that order; the job is then shown as cancelled and starts nothing. Without a confirmed record the answer is 503 or 504. The leader removes the record after 60 s, five times the longest delay that the platform states, unless the job was submitted. Until then a repeated DELETE costs no call; 4,096 such records are kept at most, further DELETEs of unknown jobs get 503.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -96,6 +96,7 @@
 #[derive(Default)]
 struct State {
     replica: Replica,
+    early_cancellations: EarlyCancellations,
     /// The offset of the next record to read from each stream; absent until the stream was read for the first time.
     next: BTreeMap<Stream, u64>,
     /// The address of each host's agent.
@@ -131,8 +132,10 @@
     unknown_submissions: RefCell<BTreeMap<JobId, TimeMs>>,
 }
 
+mod cancellations;
 mod requests;
 
+use cancellations::EarlyCancellations;
 use requests::Outage;
 pub use requests::RequestError;
 
@@ -160,6 +163,7 @@
             spawn_local(self.clone().follow(stream));
         }
         spawn_local(self.clone().probe_store());
+        spawn_local(self.clone().remove_early_cancellations());
         self.clone().run_election(stop).await;
     }
 
@@ -303,6 +307,9 @@
         if stream == Stream::Progress && !page.records.is_empty() {
             state.leader_silent_since = self.config.clock.now();
         }
+        if stream == Stream::Jobs && from.is_none() {
+            state.early_cancellations.read_anew();
+        }
         let mut listed_zones_out = BTreeSet::new();
         for record in &page.records {
             match stream {
@@ -321,7 +328,7 @@
                     Err(error) => self.skip_record(stream, &record.key, &error),
                 },
                 Stream::Jobs | Stream::Progress => match JobRecord::decode(record) {
-                    Ok(decoded) => state.apply_job_record(decoded),
+                    Ok(decoded) => state.apply_job_record(decoded, self.config.clock.now()),
                     Err(error) => self.skip_record(stream, &record.key, &error),
                 },
             }
@@ -477,8 +484,12 @@
         }
     }
 
-    fn notify_submitted(&self, job: JobId) {
-        self.notify_leader(LeaderEvent::Submitted(job));
+    /// Applies a submission that was stored.
+    fn apply_submission(&mut self, job: JobId, spec: JobSpec) {
+        self.early_cancellations.submitted(job);
+        if self.replica.apply_submission(job, spec) {
+            self.notify_leader(LeaderEvent::Submitted(job));
+        }
     }
 
     fn apply_operator_change(&mut self, change: OperatorChange) {
@@ -521,18 +532,11 @@
         self.notify_leader(LeaderEvent::HostsChanged);
     }
 
-    fn apply_job_record(&mut self, record: JobRecord) {
+    fn apply_job_record(&mut self, record: JobRecord, now: TimeMs) {
         match record {
-            JobRecord::Submitted(job, spec) => {
-                if self.replica.apply_submission(job, *spec) {
-                    self.notify_submitted(job);
-                }
-            }
-            JobRecord::Cancelled(job) => {
-                if self.replica.apply_cancellation(job) {
-                    self.notify_leader(LeaderEvent::Cancelled(job));
-                }
-            }
+            JobRecord::Submitted(job, spec) => self.apply_submission(job, *spec),
+            JobRecord::Cancelled(job) => self.apply_cancellation(job, now),
+            JobRecord::CancellationRemoved(job) => self.early_cancellations.removed(job),
             JobRecord::Progressed(job, progress) => self.replica.apply_progress(job, progress),
             JobRecord::Leader(leader) => {
                 if leader.epoch > self.epoch {
--- a/crates/fleet/src/entry/requests.rs
+++ b/crates/fleet/src/entry/requests.rs
@@ -9,17 +9,14 @@
 use tokio::time::sleep;
 
 use super::{Entry, INITIAL_BACKOFF_MS, STORE_CALL_TIMEOUT_MS, back_off};
-use crate::{
-    leader::LeaderEvent,
-    store::{JobRecord, Record, StoreError, Stream},
-};
+use crate::store::{JobRecord, Record, StoreError, Stream};
 
 /// Requests are refused without a call once the store has accepted no record for this long, in milliseconds. Rate
 /// limiting by the store lasts less.
 const OUTAGE_THRESHOLD_MS: u64 = 300;
 /// How long an unanswered submission may still take effect, in milliseconds: five times the limit that the platform
 /// states.
-const UNKNOWN_OUTCOME_MS: u64 = 60_000;
+pub(super) const UNKNOWN_OUTCOME_MS: u64 = 60_000;
 /// How long an append may stay unanswered while the store answers other calls, in milliseconds: appends of all entries to a
 /// slow store wait for each other, and each repetition makes the others wait longer.
 const SLOW_APPEND_TIMEOUT_MS: u64 = 1_300;
@@ -60,9 +57,7 @@
         let stored = self.append_request(record, deadline, is_stored).await;
         self.track_unknown_outcome(job, stored)?;
         let mut state = self.state.borrow_mut();
-        if state.replica.apply_submission(job, spec) {
-            state.notify_submitted(job);
-        }
+        state.apply_submission(job, spec);
         Ok(())
     }
 
@@ -90,26 +85,6 @@
         }
     }
 
-    /// Cancels a job unless it has already finished. Returns whether the job exists.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the job is unknown here and the store cannot be read, if the store has not confirmed the cancellation
-    /// by `deadline`, or at once during an outage of the store.
-    pub async fn cancel(&self, job: JobId, deadline: TimeMs) -> Result<bool, RequestError> {
-        let Some(status) = self.status(job).await? else { return Ok(false) };
-        if !matches!(status, JobStatus::Queued | JobStatus::Active) {
-            return Ok(true);
-        }
-        let is_stored = || self.state.borrow().replica.job(job).is_some_and(|copy| copy.cancelled);
-        self.append_request(JobRecord::cancelled(job), deadline, is_stored).await?;
-        let mut state = self.state.borrow_mut();
-        if state.replica.apply_cancellation(job) {
-            state.notify_leader(LeaderEvent::Cancelled(job));
-        }
-        Ok(true)
-    }
-
     /// The status of a job; `None` if there is no such job.
     ///
     /// # Errors
@@ -150,7 +125,7 @@
     /// of the store. In an outage it goes on only if an attempt had no answer: the client could not send the request again
     /// after an unknown outcome. Succeeds as well once `is_stored`, which tells whether the record was read back from the
     /// store. Fails at once if the outage began before.
-    async fn append_request(
+    pub(super) async fn append_request(
         &self,
         record: Record,
         deadline: TimeMs,
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -87,6 +87,7 @@
     pub unreported_runs: Gauge,
     pub config_version: Gauge,
     pub records_skipped: Counter,
+    pub early_cancellations: Gauge,
 }
 
 impl EntryMetrics {
@@ -117,6 +118,11 @@
             self.unreported_runs.clone(),
         );
         r.register("config_version", "Version of the configuration in force here", self.config_version.clone());
+        r.register(
+            "early_cancellations",
+            "Cancelled jobs of which no submission is known",
+            self.early_cancellations.clone(),
+        );
         r.register("records_skipped", "Records of the store that could not be used", self.records_skipped.clone());
         encode(&r)
     }
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -130,6 +130,8 @@
     Submitted(JobId, Box<JobSpec>),
     /// A client cancelled a job.
     Cancelled(JobId),
+    /// The record of a cancellation was removed, because its job was not submitted.
+    CancellationRemoved(JobId),
     /// The leader changed the progress of a job.
     Progressed(JobId, JobProgress),
     /// The leader sent a heartbeat or resigned.
@@ -161,6 +163,11 @@
         Record::new(format!("{CANCELLED}{job}"), vec![1])
     }
 
+    /// Encodes the removal of a cancellation for [`Stream::Jobs`].
+    pub fn cancellation_removed(job: JobId) -> Record {
+        Record { key: format!("{CANCELLED}{job}"), value: None }
+    }
+
     /// Encodes the progress of a job for [`Stream::Progress`].
     ///
     /// # Errors
@@ -186,7 +193,11 @@
     /// Fails if this version does not know the key or cannot decode the value.
     pub fn decode(record: &Record) -> Result<Self, RecordError> {
         let error = |message: &dyn ToString| RecordError { key: record.key.clone(), message: message.to_string() };
-        let Some(value) = &record.value else { return Ok(Self::Removed) };
+        let cancelled = record.key.strip_prefix(CANCELLED);
+        let Some(value) = &record.value else {
+            return cancelled
+                .map_or(Ok(Self::Removed), |job| job.parse().map(Self::CancellationRemoved).map_err(|e| error(&e)));
+        };
         if let Some(job) = record.key.strip_prefix(SUBMITTED) {
             let job = job.parse().map_err(|e| error(&e))?;
             let spec: Box<JobSpec> = postcard::from_bytes(value).map_err(|e| error(&e))?;
@@ -194,7 +205,7 @@
             spec.validate().map_err(|e| error(&e))?;
             return Ok(Self::Submitted(job, spec));
         }
-        if let Some(job) = record.key.strip_prefix(CANCELLED) {
+        if let Some(job) = cancelled {
             return job.parse().map(Self::Cancelled).map_err(|e| error(&e));
         }
         if record.key == LEADER {
