Drop a start whose job has ended meanwhile

Cause: a start waits for its record to be stored. If its job is cancelled in that time, the start was sent all the same, and the stop only after the next records were stored, which takes as long again while the store is slow.

The check before a start is sent also asks whether the job is still active. The stop that the end of the job causes makes the agent confirm that nothing runs.

Evidence: a_start_of_a_job_that_was_cancelled_meanwhile_is_dropped failed before. The tests of closed hosts are now in crates/core/tests/outdated_starts.rs.

--- a/crates/core/src/jobs/scheduler/sessions.rs
+++ b/crates/core/src/jobs/scheduler/sessions.rs
@@ -4,6 +4,7 @@
 use crate::{
     jobs::{
         hosts::{Host, HostName, Link},
+        progress::Phase,
         spec::TaskRef,
     },
     units::TimeMs,
@@ -17,8 +18,8 @@
         Send,
         /// Stop the run instead, so that its task goes to another host: no run may start on this one any more.
         Stop,
-        /// Send nothing: the run is not assigned to the host, or the host has not reported its runs in the open session. The
-        /// start is then out of date, or is sent when the host is reconciled.
+        /// Send nothing: the run is not assigned to the host, its job has ended, or the host has not reported its runs in
+        /// the open session. The start is then out of date, or is sent when the host is reconciled.
         Drop,
     }
 }
@@ -65,7 +66,9 @@
         reported: bool,
     ) -> StartCheck {
         let host = self.hosts.get(name).filter(|host| host.link == Link::Connected && host.reconciled);
-        let Some(host) = host.filter(|_| self.is_assigned(name, incarnation, task, run)) else {
+        // A job that has ended since has its runs stopped by a later batch.
+        let is_active = self.jobs.get(&task.job).is_some_and(|job| job.progress.phase == Phase::Active);
+        let Some(host) = host.filter(|_| is_active && self.is_assigned(name, incarnation, task, run)) else {
             return StartCheck::Drop;
         };
         if reported || host.takes_starts(&self.zones_out) { StartCheck::Send } else { StartCheck::Stop }
--- a/crates/core/tests/closed_hosts.rs
+++ b/crates/core/tests/outdated_starts.rs
@@ -1,5 +1,5 @@
-//! Tests of hosts on which no run may start any more after runs were assigned to them: they drain, or their availability
-//! zone was taken out of service.
+//! Tests of runs that may no longer start after they were assigned: their host drains, its availability zone was taken out
+//! of service, or their job was cancelled.
 
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -119,3 +119,15 @@
     closing.apply(&mut scheduler);
     assert_eq!(check(&scheduler), StartCheck::Stop);
 }
+
+/// Guards against a start of a job that was cancelled while the record of the decision was being stored: the stop is sent
+/// only after the next records were stored.
+#[test]
+fn a_start_of_a_job_that_was_cancelled_meanwhile_is_dropped() {
+    let mut scheduler = scheduler_with_an_assigned_run();
+    scheduler.job_cancelled(JobId(1), at(20));
+    let check = scheduler.check_start(&HOST.to_owned(), INCARNATION, &TASK, 1, false);
+    assert_eq!(check, StartCheck::Drop);
+    let effects = scheduler.take_batch().effects;
+    assert!(matches!(&effects[..], [Effect::Stop { task: TASK, run: 1, .. }]), "{effects:?}");
+}
