--- a/crates/core/src/jobs/lease.rs
+++ b/crates/core/src/jobs/lease.rs
@@ -47,8 +47,8 @@
         Self { grant_ms, proof_ms: grant_ms * 2 / 5, start_validity_ms: MAX_START_VALIDITY_MS }
     }
 
-    /// Ends the validity of starts in the first half of `drain_ms`, the time in milliseconds within which the last start
-    /// has to take effect after an endpoint has announced that it drains.
+    /// Limits the validity of starts to half of `drain_ms`, the time in milliseconds within which the last start has to take
+    /// effect after an endpoint has announced that it drains.
     pub fn with_drain_period(self, drain_ms: u64) -> Self {
         Self { start_validity_ms: self.start_validity_ms.min(drain_ms / 2), ..self }
     }
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -126,7 +126,7 @@
     /// When the last message of a leader arrived.
     leader_heard_at: TimeMs,
     session: Option<mpsc::UnboundedSender<ToLeader>>,
-    /// The number of sessions that were opened.
+    /// How many sessions were opened so far; the number of the latest one.
     session_number: u64,
     calls_in_flight: usize,
     shutting_down: bool,
