Write the log in parts of at most 8 KiB

Cause: the log thread writes all lines of 20 ms in one call. A collector that reads 8 KiB of a write at most keeps the first 57 to 67 lines and loses the rest, while the process believes that it has written all of them.

Whole lines are now written in parts of at most 8 KiB.

--- a/crates/fleet/src/logs.rs
+++ b/crates/fleet/src/logs.rs
@@ -26,6 +26,9 @@
 /// How long lines are collected before they are written, in milliseconds. This saves tens of writes, and a process that
 /// is killed loses few lines.
 const BATCH_MS: u64 = 20;
+/// The maximum size of one write, in bytes, unless a single line is longer. Collectors that read this much of a write at most would
+/// lose the rest.
+const MAX_WRITE_BYTES: usize = 8 * 1024;
 /// How long the end of the process waits until the last lines are written, in milliseconds.
 const FLUSH_TIMEOUT_MS: u64 = 500;
 
@@ -185,7 +188,7 @@
             text.extend_from_slice(format!("log lines dropped: count={}\n", dropped - reported_dropped).as_bytes());
             reported_dropped = dropped;
         }
-        if let Err(e) = output.write_all(&text).and_then(|()| output.flush()) {
+        if let Err(e) = write_parts(&mut output, &text) {
             eprintln!("log lines cannot be written: error={e}");
         }
         for done in flushes {
@@ -195,3 +198,25 @@
         }
     }
 }
+
+/// Writes whole lines in parts of at most [`MAX_WRITE_BYTES`].
+fn write_parts(output: &mut impl Write, mut text: &[u8]) -> io::Result<()> {
+    while !text.is_empty() {
+        let (part, rest) = text.split_at(part_len(text));
+        output.write_all(part)?;
+        output.flush()?;
+        text = rest;
+    }
+    Ok(())
+}
+
+/// The length of the longest run of whole lines at the start of `text` that may be written at once, or of the first line if
+/// that is longer.
+fn part_len(text: &[u8]) -> usize {
+    if text.len() <= MAX_WRITE_BYTES {
+        return text.len();
+    }
+    let is_line_end = |byte: &u8| *byte == b'\n';
+    let last = text[..MAX_WRITE_BYTES].iter().rposition(is_line_end);
+    last.or_else(|| text.iter().position(is_line_end)).map_or(text.len(), |end| end + 1)
+}
--- a/crates/fleet/tests/logs.rs
+++ b/crates/fleet/tests/logs.rs
@@ -88,3 +88,32 @@
     drop(flusher);
     assert!(output.text().contains("agent stopping"));
 }
+
+/// An output that keeps only the beginning of each write.
+#[derive(Clone, Default)]
+struct TruncatingOutput(Arc<Mutex<String>>);
+
+impl Write for TruncatingOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let kept = &bytes[..bytes.len().min(8 * 1024)];
+        self.0.lock().expect("no panic").push_str(&String::from_utf8_lossy(kept));
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against lines that are lost in a collector which reads only the first 8 KiB of a write, as on days on which a leader
+/// orders more than 60 runs at a time: the orders were missing from the log.
+#[test]
+fn a_burst_of_lines_is_written_in_small_parts() {
+    let output = TruncatingOutput::default();
+    let (logger, flusher) = logger_with_capacity(output.clone(), 1_024);
+    let padding = "x".repeat(100);
+    (0..200).for_each(|n| log_line(&*logger, Level::Info, &format!("line {n} {padding}")));
+    drop(flusher);
+    let text = output.0.lock().expect("no panic").clone();
+    assert_eq!(text.lines().filter(|line| line.ends_with(&padding)).count(), 200);
+}
