Count waiting jobs from a recent copy of the store only

Cause: an entry that cannot read the store went on to give the number of waiting jobs from its copy, however old that was, and one that had just read its configuration gave 0. The jobs accepted by other entries meanwhile were left out.

Each entry now knows when its copy of a stream last held all records, measured from when the read was sent, so that a suspension of the process counts.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -99,6 +99,9 @@
     early_cancellations: EarlyCancellations,
     /// The offset of the next record to read from each stream; absent until the stream was read for the first time.
     next: BTreeMap<Stream, u64>,
+    views: Views,
+    /// The streams whose latest read by their follower has failed.
+    unreachable: BTreeSet<Stream>,
     /// The address of each host's agent.
     hosts: BTreeMap<HostName, SocketAddr>,
     routing: Option<RoutingConfig>,
@@ -134,10 +137,13 @@
 
 mod cancellations;
 mod requests;
+mod views;
 
 use cancellations::EarlyCancellations;
 use requests::Outage;
 pub use requests::RequestError;
+pub use views::MAX_COUNT_AGE_MS;
+use views::Views;
 
 impl Entry {
     /// Creates an entry, which does nothing until [`Entry::run`] is called.
@@ -227,13 +233,13 @@
     /// Replicates a stream until the task is dropped.
     async fn follow(self: Rc<Self>, stream: Stream) {
         let mut backoff_ms = INITIAL_BACKOFF_MS;
-        let mut unreachable = false;
         loop {
             // The leader writes these records itself and does not read them back.
             while stream == Stream::Progress && self.leading.get() {
                 self.leading_changed.notified().await;
             }
             let from = self.state.borrow().next.get(&stream).copied();
+            let sent_at = self.config.clock.now();
             let answer = match from {
                 None => self.store.newest(stream).await,
                 Some(from) => self.store.read(stream, from, READ_WAIT_MS).await,
@@ -242,14 +248,16 @@
                 Ok(page) => {
                     self.outage.set(None);
                     self.store_answered_at.set(self.config.clock.now());
-                    if std::mem::take(&mut unreachable) {
+                    if self.state.borrow_mut().unreachable.remove(&stream) {
                         log::info!("store reachable again: stream={stream:?} next={}", page.next);
                     }
                     backoff_ms = INITIAL_BACKOFF_MS;
                     if from.is_none() {
                         log::info!("stream read: stream={stream:?} records={} next={}", page.records.len(), page.next);
                     }
-                    self.apply(stream, from, page);
+                    // The store has waited for records in vain, so the copy was complete until it answered.
+                    let waited_ms = if from.is_some() && page.records.is_empty() { READ_WAIT_MS } else { 0 };
+                    self.apply(stream, from, page, sent_at.plus_ms(waited_ms));
                     let spacing_ms = match stream {
                         Stream::Progress => PROGRESS_POLL_MS,
                         Stream::Jobs if !self.leading.get() => JOBS_POLL_MS,
@@ -266,7 +274,7 @@
                         // The leader may have lost the store as well, so its silence is no reason to take over.
                         self.state.borrow_mut().leader_silent_since = self.config.clock.now();
                     }
-                    if !std::mem::replace(&mut unreachable, true) {
+                    if self.state.borrow_mut().unreachable.insert(stream) {
                         log::warn!("store unreachable: stream={stream:?} error={error}");
                     }
                     back_off(&mut backoff_ms).await;
@@ -279,6 +287,7 @@
     pub(crate) async fn catch_up(&self, stream: Stream) -> Result<(), StoreError> {
         loop {
             let from = self.state.borrow().next.get(&stream).copied();
+            let sent_at = self.config.clock.now();
             let page = match from {
                 None => self.store.newest(stream).await?,
                 Some(from) => match self.call_store("read", self.store.read(stream, from, 0)).await {
@@ -291,15 +300,16 @@
                 },
             };
             let is_end = page.records.is_empty();
-            if self.apply(stream, from, page) && is_end {
+            if self.apply(stream, from, page, sent_at) && is_end {
                 return Ok(());
             }
         }
     }
 
     /// Applies a page that was read from the offset `from`, or the newest records if that is `None`. Returns whether it
-    /// did: another task may have read on in the meantime, after which the records of this page are out of date.
-    fn apply(&self, stream: Stream, from: Option<u64>, page: Page) -> bool {
+    /// did: another task may have read on in the meantime, after which the records of this page are out of date. `read_at` is
+    /// a time at which the store had no records after those of the page, if the page reaches the end of the stream.
+    fn apply(&self, stream: Stream, from: Option<u64>, page: Page, read_at: TimeMs) -> bool {
         let mut state = self.state.borrow_mut();
         if state.next.get(&stream).copied() != from {
             return false;
@@ -337,6 +347,9 @@
             state.restore_unlisted_zones(&listed_zones_out);
         }
         state.next.insert(stream, page.next);
+        if page.at_end {
+            state.views.completed(stream, read_at);
+        }
         if let Some(routing) = &state.routing {
             self.config.metrics.config_version.set(routing.version as i64);
         }
@@ -457,9 +470,11 @@
         self.state.borrow().replica.job(job).and_then(|copy| copy.spec.clone())
     }
 
-    /// Notes that the leader's own records end before the offset `next`.
-    pub(crate) fn progress_stored(&self, next: u64) {
-        self.state.borrow_mut().next.insert(Stream::Progress, next);
+    /// Notes that the leader's own records end before the offset `next`. The append was sent at `sent_at`.
+    pub(crate) fn progress_stored(&self, next: u64, sent_at: TimeMs) {
+        let mut state = self.state.borrow_mut();
+        state.next.insert(Stream::Progress, next);
+        state.views.completed(Stream::Progress, sent_at);
     }
 
     pub(crate) fn hosts(&self) -> BTreeMap<HostName, SocketAddr> {
--- a/crates/fleet/src/entry/requests.rs
+++ b/crates/fleet/src/entry/requests.rs
@@ -100,11 +100,6 @@
         Ok(self.state.borrow().replica.job(job).and_then(ReplicatedJob::status))
     }
 
-    /// The number of accepted jobs of a queue that have not started any task.
-    pub fn pending(&self, queue: &str) -> usize {
-        self.state.borrow().replica.count_queued(queue)
-    }
-
     /// Reads the store during an outage until a read succeeds, which ends the outage. Client requests are not used as
     /// probes, since a request whose answer is lost has an unknown outcome.
     pub(super) async fn probe_store(self: Rc<Self>) {
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -66,7 +66,7 @@
     sequence: u64,
     /// The batch whose records are being stored. Its effects are carried out afterwards.
     pending_batch: Option<Batch>,
-    append_results: mpsc::UnboundedSender<Result<u64, StoreError>>,
+    append_results: mpsc::UnboundedSender<Result<Appended, StoreError>>,
     /// The latest task that stores records. It is aborted with the leader, as it would otherwise repeat the append
     /// until the store is back.
     append_task: Option<JoinHandle<()>>,
@@ -115,8 +115,8 @@
                 }
             }
             outcome = append_results.recv() => {
-                let Some(Ok(next)) = outcome else { break };
-                entry.progress_stored(next);
+                let Some(Ok(appended)) = outcome else { break };
+                entry.progress_stored(appended.next, appended.sent_at);
                 if let Some(batch) = leader.pending_batch.take() {
                     leader.apply_batch(batch);
                 }
@@ -184,24 +184,33 @@
     entry.is_leader(&leadership.name, leadership.epoch.get())
 }
 
+/// Records that the store has confirmed.
+#[derive(Debug, Clone, Copy, Default)]
+struct Appended {
+    /// The offset after the records.
+    next: u64,
+    /// When the confirmed call was sent, before which no other leader had written.
+    sent_at: TimeMs,
+}
+
 /// Appends records under consecutive sequence numbers from `first` on, and repeats each append until the store has
-/// confirmed it. Returns the offset after the records, or [`StoreError::Fenced`] if a later leader has written.
+/// confirmed it. Fails with [`StoreError::Fenced`] if a later leader has written.
 async fn append_records(
     entry: &Entry,
     leadership: &Leadership,
     first: u64,
     appends: &[Vec<Record>],
-) -> Result<u64, StoreError> {
-    let mut next = 0;
+) -> Result<Appended, StoreError> {
+    let mut appended = Appended::default();
     for (sequence, records) in (first..).zip(appends) {
         let mark = LeaderMark { epoch: leadership.epoch.get(), sequence };
         let mut backoff_ms = APPEND_BACKOFF_MS;
-        next = loop {
+        appended = loop {
             let sent_at = leadership.clock.now();
             match entry.call_store("append", entry.store.append(Stream::Progress, records, Some(mark))).await {
                 Ok(next) => {
                     leadership.proof.borrow_mut().renew(sent_at);
-                    break next;
+                    break Appended { next, sent_at };
                 }
                 Err(StoreError::Fenced) => {
                     log::warn!(
@@ -217,7 +226,7 @@
             }
         };
     }
-    Ok(next)
+    Ok(appended)
 }
 
 /// Encodes a heartbeat and the changed jobs of a batch as the records of one or more appends. The job records of an
@@ -265,7 +274,7 @@
         entry: Rc<Entry>,
         leadership: Rc<Leadership>,
         session_events: mpsc::UnboundedSender<(HostName, SessionEvent)>,
-        append_results: mpsc::UnboundedSender<Result<u64, StoreError>>,
+        append_results: mpsc::UnboundedSender<Result<Appended, StoreError>>,
     ) -> Self {
         let now = entry.config.clock.moment();
         let known_hosts = entry.hosts();
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -44,6 +44,8 @@
     pub records: Vec<Record>,
     /// The offset of the next record to read.
     pub next: u64,
+    /// Whether the stream had no records from `next` on when it was read.
+    pub at_end: bool,
 }
 
 /// Marks an append as the leader's. The store refuses an epoch below the highest that it has seen. It does not append
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -98,7 +98,8 @@
         let next = records.len() as u64;
         let newest: BTreeMap<_, _> = records.into_iter().map(|record| (record.key.clone(), record)).collect();
         // A key is dropped with a record that has no value.
-        Ok(Page { records: newest.into_values().filter(|record| record.value.is_some()).collect(), next })
+        let records = newest.into_values().filter(|record| record.value.is_some()).collect();
+        Ok(Page { records, next, at_end: true })
     }
 
     async fn read(&self, stream: Stream, from: u64, wait_ms: u64) -> Result<Page, StoreError> {
@@ -123,7 +124,7 @@
             sleep(Duration::from_millis(rand::random_range(0..self.late_reads_ms.get()))).await;
         }
         let next = from + records.len() as u64;
-        Ok(Page { records, next })
+        Ok(Page { records, next, at_end: true })
     }
 
     async fn append(&self, stream: Stream, records: &[Record], mark: Option<LeaderMark>) -> Result<u64, StoreError> {
