Count jobs as waiting until a task has started

Cause: a job counted as begun once a task was assigned to a host.

A job has begun once an agent has reported a start or an end of one of its tasks. Agents name such jobs with each request for a grant, in a field at the end of the message that earlier versions ignore, and all that run when a session opens. The leader stores the first start with the next change of the job, or after 1 s.

Evidence: with the assignment back as the evidence, an_assignment_does_not_begin_a_job, a_reported_start_is_stored_after_a_second_at_the_latest and a_job_waits_until_a_task_has_started::case_1_the_endpoint_answers_nothing fail.

--- a/crates/core/src/jobs/progress.rs
+++ b/crates/core/src/jobs/progress.rs
@@ -56,7 +56,7 @@
     pub struct JobProgress {
         /// Whether the job is active, or how it ended.
         pub phase: Phase,
-        /// Whether any task has ever been assigned to a host.
+        /// Whether a task is known to have started. Earlier versions set it when the first task is assigned to a host.
         pub begun: bool,
         /// The tasks, indexed by occurrence, step and position within the step.
         pub occurrences: Vec<Vec<Vec<TaskProgress>>>,
--- a/crates/core/src/jobs/replica.rs
+++ b/crates/core/src/jobs/replica.rs
@@ -11,9 +11,9 @@
     /// The state of a job as reported to clients.
     #[derive(Copy)]
     pub enum JobStatus {
-        /// The job was accepted, and no task has been assigned to a host.
+        /// The job was accepted, and no task is known to have started.
         Queued,
-        /// At least one task has been assigned to a host, and the job has not ended.
+        /// At least one task has started, and the job has not ended.
         Active,
         /// All tasks have succeeded.
         Completed,
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -28,6 +28,7 @@
 mod order;
 mod placing;
 mod sessions;
+mod started;
 
 pub(super) use crashes::QUIET_MS;
 pub use crashes::{CountedCrash, SUSPECT_AGE_MS, TRIAL_MS};
@@ -168,6 +169,8 @@
     /// The sequence number of the job that was added last.
     accepted: u64,
     changed: BTreeSet<JobId>,
+    /// Jobs whose first start has yet to be stored, and when it is stored at the latest.
+    unstored_starts: BTreeMap<JobId, TimeMs>,
     effects: Vec<Effect>,
     placement_needed: bool,
     /// When waiting steps are next matched against all hosts.
@@ -201,6 +204,7 @@
             due: BTreeSet::new(),
             accepted: 0,
             changed: BTreeSet::new(),
+            unstored_starts: BTreeMap::new(),
             effects: Vec::new(),
             placement_needed: true,
             full_placement_at: now.at,
@@ -353,6 +357,7 @@
     /// ignored.
     pub fn run_ended(&mut self, name: &HostName, incarnation: u64, ended: &RunEnd, now: Moment) {
         if self.is_assigned(name, incarnation, &ended.task, ended.run) {
+            self.record_begun(&ended.task.job);
             if ended.end != RunOutcome::Interrupted
                 && let Some(host) = self.hosts.get_mut(name)
             {
@@ -417,6 +422,7 @@
             self.due.remove(&(at, job));
             self.refresh_job(job, now);
         }
+        self.store_due_starts(now);
         self.end_trials(now.at);
         self.place(now);
         self.move_throttled(now.at);
@@ -447,6 +453,7 @@
     /// Returns the jobs changed since the last call, and the effects that depend on their records.
     pub fn take_batch(&mut self) -> Batch {
         let changed = std::mem::take(&mut self.changed);
+        self.unstored_starts.retain(|id, _| !changed.contains(id));
         let records =
             changed.into_iter().filter_map(|id| self.jobs.get(&id).map(|job| (id, job.progress.clone()))).collect();
         Batch { records, effects: std::mem::take(&mut self.effects) }
--- a/crates/core/src/jobs/scheduler/placing.rs
+++ b/crates/core/src/jobs/scheduler/placing.rs
@@ -351,7 +351,6 @@
         job.idle_since = None;
         progress.state = TaskState::Assigned { host: name.clone(), incarnation };
         let checkpoint = progress.checkpoint.clone();
-        job.progress.begun = true;
         host.record_assignment(job.progress.is_on_trial(task, step.gang), now);
         self.changed.insert(task.job);
         let (spec, reported) = (spec.clone(), false);
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -6,11 +6,15 @@
 unanswered order repeats that order until the endpoint has answered.
 */
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use fescuelead_core::{
     jobs::{
-        HostInfo, Rejection, RunEnd, RunOutcome, TaskRef,
+        HostInfo, JobId, Rejection, RunEnd, RunOutcome, TaskRef,
         lease::{AgentLease, LeasePlan},
         pace::Pacer,
     },
@@ -116,6 +120,8 @@
     report_sent_at: TimeMs,
     running: BTreeMap<TaskRef, Running>,
     orders: BTreeMap<TaskRef, Order>,
+    /// Jobs of which tasks have started since the leader was last told of starts.
+    started_jobs: BTreeSet<JobId>,
     /// Ends that the leader has not confirmed as stored, by number.
     ends: BTreeMap<u64, RunEnd>,
     /// The leader has stored the ends up to this number, so the endpoint may forget them.
@@ -185,6 +191,7 @@
             report_sent_at: TimeMs::default(),
             running: BTreeMap::new(),
             orders: BTreeMap::new(),
+            started_jobs: BTreeSet::new(),
             ends: BTreeMap::new(),
             forget_up_to: 0,
             pacer: Pacer::new(),
@@ -297,6 +304,11 @@
         self.state.borrow().leader_heard_at
     }
 
+    /// The jobs of which tasks have started since the last call in this session.
+    pub(crate) fn take_started_jobs(&self) -> Vec<JobId> {
+        std::mem::take(&mut self.state.borrow_mut().started_jobs).into_iter().collect()
+    }
+
     /// The monotonic time on the agent's clock.
     pub(crate) fn now(&self) -> TimeMs {
         self.clock.now()
@@ -476,6 +488,7 @@
     /// Sends the whole state to a new leader. Ended runs come before running ones, so that no ended run is started
     /// again.
     fn send_snapshot(&mut self) {
+        self.repeat_started_jobs();
         self.send_losses();
         self.send_info();
         self.send(ToLeader::Headroom(self.pacer.headroom().clone()));
--- a/crates/fleet/src/agent/orders.rs
+++ b/crates/fleet/src/agent/orders.rs
@@ -1,4 +1,4 @@
-//! Started runs that the endpoint no longer lists.
+//! Runs whose start the endpoint has answered, and those of them that it no longer lists.
 
 use fescuelead_core::{
     jobs::{Rejection, RunEnd, TaskRef},
@@ -18,9 +18,16 @@
             && let Some(order) = self.orders.get_mut(&task).filter(|order| order.run == run)
         {
             order.started_at = Some(now);
+            self.started_jobs.insert(task.job);
         }
     }
 
+    /// Lets the next request for a grant name all jobs of which tasks run, as a new leader does not know of their starts.
+    pub(super) fn repeat_started_jobs(&mut self) {
+        let answered = self.orders.iter().filter(|(_, order)| order.started_at.is_some()).map(|(task, _)| task.job);
+        self.started_jobs = self.running.keys().map(|task| task.job).chain(answered).collect();
+    }
+
     /// Rejects the runs whose start was answered before the call at `sent_at`, but which its report lists neither as
     /// running nor as ended: they no longer exist, and no later report will list an end. The report's running runs must
     /// already be in [`State::running`]. Runs that are being stopped are left to their stop.
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -389,6 +389,7 @@
                 log::warn!("host disconnected: host={host}");
                 return self.scheduler.host_disconnected(host, last_grant_at, now);
             }
+            SessionEvent::Started(jobs) => return self.scheduler.jobs_started(&jobs, now),
             SessionEvent::Received(message) => message,
         };
         match message {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -10,7 +10,7 @@
 
 use fescuelead_core::{
     jobs::{
-        HostInfo, Rejection, RunEnd, TaskRef,
+        HostInfo, JobId, Rejection, RunEnd, TaskRef,
         image_interference::{Change, PairTable},
         pace::{Headroom, Paces},
     },
@@ -101,6 +101,10 @@
         Ask {
             /// When the request was sent, in milliseconds on the agent's clock.
             asked_ms: u64,
+            /// The jobs of which tasks have started since the request before, or in this session at all in its first one.
+            /// Earlier versions neither send nor read this field.
+            #[serde(deserialize_with = "fescuelead_core::trailing::or_default")]
+            started: Vec<JobId>,
         },
         /// The endpoint's latest announcement; `None` if there is none yet or the endpoint is lost.
         Info(Option<HostInfo>),
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -9,7 +9,7 @@
 
 use fescuelead_core::{
     jobs::{
-        HostName,
+        HostName, JobId,
         lease::{LeadershipProof, LeasePlan},
     },
     units::TimeMs,
@@ -89,7 +89,7 @@
                 if agent.now().since_ms(last_received_at) > SESSION_TIMEOUT_MS {
                     break;
                 }
-                messages.push(ToLeader::Ask { asked_ms: agent.now().0 });
+                messages.push(ToLeader::Ask { asked_ms: agent.now().0, started: agent.take_started_jobs() });
             }
         }
         while let Ok(message) = outgoing.try_recv() {
@@ -139,6 +139,8 @@
 pub(crate) enum SessionEvent {
     Opened,
     Received(ToLeader),
+    /// Tasks of these jobs have started on the host.
+    Started(Vec<JobId>),
     Closed {
         /// When the leader last granted a lease in this session; `None` if it granted none.
         last_grant_at: Option<TimeMs>,
@@ -229,13 +231,16 @@
                         leadership.superseded.set(true);
                         break;
                     }
-                    Some(ToLeader::Ask { asked_ms }) => {
+                    Some(ToLeader::Ask { asked_ms, started }) => {
                         let mut grant_ms = 0;
                         if leadership.holds() {
                             grant_ms = leadership.plan.grant_ms;
                             last_grant_at.set(Some(leadership.clock.now()));
                         }
                         messages.push(ToAgent::Grant { asked_ms, grant_ms });
+                        if !started.is_empty() && events.send((host.clone(), SessionEvent::Started(started))).is_err() {
+                            break;
+                        }
                     }
                     Some(message) => {
                         if events.send((host.clone(), SessionEvent::Received(message))).is_err() {
--- a/crates/fleet/tests/support/session.rs
+++ b/crates/fleet/tests/support/session.rs
@@ -65,7 +65,7 @@
         let until = Instant::now() + Duration::from_millis(ms);
         while let Ok(Ok(message)) = tokio::time::timeout_at(until, message::read::<ToLeader>(&mut self.reader)).await {
             match message {
-                ToLeader::Ask { asked_ms } => {
+                ToLeader::Ask { asked_ms, .. } => {
                     let grant_ms = if self.grants { GRANT_MS } else { 0 };
                     self.send(ToAgent::Grant { asked_ms, grant_ms }).await;
                 }
