Send orders only to the incarnation of an endpoint that they are meant for

An endpoint that restarted at once under its id ran tasks that were meant for the incarnation before, while the leader started them elsewhere.

Cause: a call names the id of the endpoint, which both incarnations share. Until the agent heard of the new one, for up to a second, it sent starts, stops and paces, and renewed the lease and acknowledged ends with the clock and the numbering of the old one.

No assertion changed.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -112,6 +112,8 @@
     crashes: Vec<Crash>,
     /// Whether the endpoint has crashed or its lease has expired without an answer, so that nothing runs on it.
     endpoint_lost: bool,
+    /// Whether the endpoint may have another incarnation than [`Self::incarnation`]. The next report tells.
+    incarnation_doubted: bool,
     /// When the call was sent that the latest report answered; 0 before the first report of an incarnation.
     report_sent_at: TimeMs,
     running: BTreeMap<TaskRef, Running>,
@@ -135,11 +137,13 @@
 mod crash;
 mod orders;
 mod pacing;
+mod restarts;
 mod room;
 mod starts;
 mod stops;
 
 use crash::Crash;
+use restarts::CallInFlight;
 
 /// The agent of one endpoint.
 pub struct Agent {
@@ -150,6 +154,8 @@
     state: std::cell::RefCell<State>,
     /// Wakes the report loop after ends were stored, and when a lost endpoint announces itself.
     report_wakeup: Notify,
+    /// Ends a report call that waits for a run to end, so that the next one tells the incarnation.
+    report_interrupt: Notify,
 }
 
 impl Agent {
@@ -182,6 +188,7 @@
             departing: false,
             crashes: Vec::new(),
             endpoint_lost: false,
+            incarnation_doubted: false,
             report_sent_at: TimeMs::default(),
             running: BTreeMap::new(),
             orders: BTreeMap::new(),
@@ -195,7 +202,15 @@
             calls_in_flight: 0,
             shutting_down: false,
         };
-        Rc::new(Self { name, endpoint, clock, metrics, state: state.into(), report_wakeup: Notify::new() })
+        Rc::new(Self {
+            name,
+            endpoint,
+            clock,
+            metrics,
+            state: state.into(),
+            report_wakeup: Notify::new(),
+            report_interrupt: Notify::new(),
+        })
     }
 
     /// Handles an announcement of the endpoint. `incarnation` is `None` if the endpoint did not include it. An announcement
@@ -211,6 +226,9 @@
             }
             // An announcement may come from another writer.
             let first_sign = state.failing_since.filter(|_| state.refused_at.is_some());
+            if state.incarnation.is_some_and(|current| incarnation != current) {
+                self.doubt_incarnation(&mut state);
+            }
             self.observe_incarnation(&mut state, incarnation, first_sign);
         }
         if was_lost {
@@ -328,28 +346,27 @@
     async fn renew_lease(self: Rc<Self>) {
         loop {
             let sent_at = self.clock.now();
-            let (token, incarnation, deadline, seen, wait_ms, first_sign) = {
+            let (token, renewal, wait_ms, first_sign) = {
                 let mut state = self.state.borrow_mut();
-                let deadline = state.deadline(sent_at);
+                let renewal = state.renewal(sent_at);
                 let serving = state.orders.values().any(|order| order.tail_target_ms.is_some());
                 let timed_out = sent_at.since_ms(state.last_answer_at) > ENDPOINT_TIMEOUT_MS;
                 let wait_ms = match () {
-                    () if timed_out || state.endpoint_clock.is_none() || !state.ends.is_empty() => 0,
+                    () if timed_out || state.incarnation_doubted || state.endpoint_clock.is_none() => 0,
+                    () if !state.ends.is_empty() => 0,
                     () if serving => SERVING_REPORT_WAIT_MS,
                     () => REPORT_WAIT_MS,
                 };
                 let first_sign = state.failing_since.unwrap_or(sent_at);
-                (state.token, state.incarnation, deadline, state.forget_up_to, wait_ms, first_sign)
+                (state.token, renewal, wait_ms, first_sign)
             };
-            let answer = self
-                .call("report", wait_ms + ANSWER_TIMEOUT_MS, self.endpoint.report(token, deadline, seen, wait_ms))
-                .await;
+            let report = self.endpoint.report(token, renewal, wait_ms);
+            let call = self.call("report", wait_ms + ANSWER_TIMEOUT_MS, report);
+            let Some(answer) = self.interruptible(wait_ms, call).await else { continue };
             match answer {
                 Ok(Some(report)) => {
                     self.apply_report(report, sent_at, first_sign);
-                    if let Some(deadline_ms) = deadline {
-                        self.state.borrow_mut().confirm_lease(incarnation, deadline_ms);
-                    }
+                    self.state.borrow_mut().confirm_lease(renewal);
                     let unstored = !self.state.borrow().ends.is_empty();
                     if unstored {
                         let waited =
@@ -373,6 +390,7 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         self.observe_incarnation(&mut state, report.incarnation, Some(first_sign));
+        state.incarnation_doubted = false;
         state.last_answer_at = now;
         state.down_since = None;
         state.endpoint_clock = Some((report.clock_ms, now));
@@ -429,18 +447,26 @@
         call: impl Future<Output = Result<T, EndpointError>>,
     ) -> Result<T, EndpointError> {
         let sent_at = self.clock.now();
-        self.state.borrow_mut().calls_in_flight += 1;
+        let in_flight = CallInFlight::new(&self.state);
         let answer = timeout(Duration::from_millis(timeout_ms), call).await;
         let answer = answer.unwrap_or_else(|_| Err(EndpointError::Unknown(format!("none within {timeout_ms} ms"))));
+        drop(in_flight);
         let mut state = self.state.borrow_mut();
-        state.calls_in_flight -= 1;
         let now = self.clock.now();
         match &answer {
             Ok(_) => (state.failing_since, state.refused_at) = (None, None),
             Err(error) => {
                 state.failing_since.get_or_insert(now);
-                if matches!(error, EndpointError::Down(_)) {
-                    state.refused_at = Some(now);
+                match error {
+                    EndpointError::Down(_) => state.refused_at = Some(now),
+                    EndpointError::OtherIncarnation { expected, found } => {
+                        log::warn!(
+                            "call not sent: kind={kind} host={} incarnation={expected} found={found}",
+                            self.name
+                        );
+                        self.doubt_incarnation(&mut state);
+                    }
+                    EndpointError::Unknown(_) => {}
                 }
             }
         }
@@ -507,13 +533,6 @@
         Some(self.authority.deadline_ms(clock_ms, seen))
     }
 
-    /// Notes that the endpoint has answered a report call with this deadline, which was computed for `incarnation`.
-    fn confirm_lease(&mut self, incarnation: Option<u64>, deadline_ms: u64) {
-        if self.incarnation == incarnation {
-            self.confirmed_lease_end_ms = self.confirmed_lease_end_ms.max(deadline_ms);
-        }
-    }
-
     fn drop_order(&mut self, task: TaskRef, run: u32) {
         if self.orders.get(&task).is_some_and(|order| order.run == run) {
             self.orders.remove(&task);
--- a/crates/fleet/src/agent/crash.rs
+++ b/crates/fleet/src/agent/crash.rs
@@ -46,7 +46,7 @@
                 let since = *state.down_since.get_or_insert(now);
                 now.since_ms(since) >= CRASH_CONFIRMATION_MS
             }
-            EndpointError::Unknown(_) => {
+            EndpointError::Unknown(_) | EndpointError::OtherIncarnation { .. } => {
                 state.down_since = None;
                 false
             }
--- a/crates/fleet/src/agent/pacing.rs
+++ b/crates/fleet/src/agent/pacing.rs
@@ -19,6 +19,7 @@
     /// leader.
     pub(super) fn pace(self: &Rc<Self>, state: &mut State, now: TimeMs) {
         let Some(host_cpu_milli) = state.info.as_ref().map(|info| info.capacity.cpu_milli) else { return };
+        let Some(incarnation) = state.incarnation else { return };
         let State { pacer, orders, running, .. } = state;
         let (mut serving, mut background) = (Vec::new(), Vec::new());
         for (&task, order) in orders.iter() {
@@ -46,7 +47,7 @@
             let percent = pacer.percent(order.image.as_deref().unwrap_or_default());
             if order.background && is_running && !order.stopping && order.paced_percent != percent {
                 order.paced_percent = percent;
-                spawn_local(self.clone().set_pace(task, order.run, percent));
+                spawn_local(self.clone().set_pace(incarnation, task, order.run, percent));
             }
         }
         if !findings.changes.is_empty() {
@@ -60,9 +61,10 @@
         }
     }
 
-    async fn set_pace(self: Rc<Self>, task: TaskRef, run: u32, percent: u8) {
+    async fn set_pace(self: Rc<Self>, incarnation: u64, task: TaskRef, run: u32, percent: u8) {
         let token = self.state.borrow().token;
-        if let Err(error) = self.call("pace", ANSWER_TIMEOUT_MS, self.endpoint.pace(token, task, run, percent)).await {
+        let pace = self.endpoint.pace(incarnation, token, task, run, percent);
+        if let Err(error) = self.call("pace", ANSWER_TIMEOUT_MS, pace).await {
             log::warn!("pace not set: task={task} run={run} host={} error={error}", self.name);
             // No share equals this value, so the next report sends the pace again.
             if let Some(order) = self.state.borrow_mut().orders.get_mut(&task) {
--- a/crates/fleet/src/agent/starts.rs
+++ b/crates/fleet/src/agent/starts.rs
@@ -100,7 +100,7 @@
                 }
                 NextAttempt::Settled => return,
             };
-            match self.call("start", ANSWER_TIMEOUT_MS, self.endpoint.start(token, &order)).await {
+            match self.call("start", ANSWER_TIMEOUT_MS, self.endpoint.start(incarnation, token, &order)).await {
                 Ok(StartAnswer::Started) => {
                     return self.state.borrow_mut().record_start(incarnation, task, run, self.clock.now());
                 }
@@ -115,7 +115,10 @@
                 Ok(StartAnswer::Rejected(reason)) => {
                     return self.refuse_start(incarnation, task, run, reason, unanswered).await;
                 }
-                Err(EndpointError::Down(_)) => sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await,
+                // The next report ends this order if the endpoint has another incarnation.
+                Err(EndpointError::Down(_) | EndpointError::OtherIncarnation { .. }) => {
+                    sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
+                }
                 Err(error @ EndpointError::Unknown(_)) => {
                     log::warn!("start unanswered: task={task} run={run} host={} error={error}", self.name);
                     unanswered = true;
--- a/crates/fleet/src/agent/stops.rs
+++ b/crates/fleet/src/agent/stops.rs
@@ -54,7 +54,7 @@
                 sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
                 continue;
             }
-            match self.call("stop", ANSWER_TIMEOUT_MS, self.endpoint.stop(token, task, run)).await {
+            match self.call("stop", ANSWER_TIMEOUT_MS, self.endpoint.stop(incarnation, token, task, run)).await {
                 Ok(true) => return self.check_run(incarnation, task, run).await,
                 Ok(false) => self.raise_token(token),
                 Err(_) => sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await,
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -62,6 +62,17 @@
     pub ended: Vec<RunEnd>,
 }
 
+/// What a report call changes at an incarnation of the endpoint, within which clock and numbers of ends count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Renewal {
+    /// The incarnation for which the other fields hold.
+    pub incarnation: u64,
+    /// Up to when the lease is extended, in milliseconds on the endpoint's clock; `None` to leave it as it is.
+    pub deadline_ms: Option<u64>,
+    /// The endpoint may forget the ended runs up to this number.
+    pub seen: u64,
+}
+
 /// Why a call to an endpoint failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum EndpointError {
@@ -71,6 +82,14 @@
     /// The endpoint did not answer: the call may have taken effect, or may do so seconds later. Holds the cause.
     #[error("the endpoint gave no answer ({0}); repeat the call")]
     Unknown(String),
+    /// The endpoint has restarted since the caller last heard of its incarnation, so the call was not sent.
+    #[error("the call is for incarnation {expected}, but the endpoint has incarnation {found}; request a report first")]
+    OtherIncarnation {
+        /// The incarnation that the call was meant for.
+        expected: u64,
+        /// The incarnation of the endpoint.
+        found: u64,
+    },
 }
 
 impl EndpointError {
@@ -79,31 +98,39 @@
         match self {
             Self::Down(_) => "down",
             Self::Unknown(_) => "unknown",
+            Self::OtherIncarnation { .. } => "other_incarnation",
         }
     }
 }
 
 /// An endpoint. Only its agent calls it; `token` is the agent's fencing token, and calls with a lower token than the
 /// endpoint has seen are refused.
+///
+/// An order is meant for one incarnation. It fails with [`EndpointError::OtherIncarnation`] and has no effect if the
+/// endpoint has another one: runs, clock and numbers of ends begin anew with each.
 #[async_trait(?Send)]
 pub trait Endpoint {
     /// Starts a run. May be repeated, also after a call without an answer.
-    async fn start(&self, token: u64, order: &StartOrder) -> Result<StartAnswer, EndpointError>;
+    async fn start(&self, incarnation: u64, token: u64, order: &StartOrder) -> Result<StartAnswer, EndpointError>;
 
     /// Stops a run, or prevents it from starting. Returns `false` if the fencing token is too low.
-    async fn stop(&self, token: u64, task: TaskRef, run: u32) -> Result<bool, EndpointError>;
+    async fn stop(&self, incarnation: u64, token: u64, task: TaskRef, run: u32) -> Result<bool, EndpointError>;
 
-    /// Extends the lease to `deadline_ms` on the endpoint's clock, allows the endpoint to forget the ended runs up to
-    /// number `seen`, and requests a report. The endpoint waits up to `wait_ms` for a run to end before it answers.
-    /// Returns `None` if the fencing token is too low.
-    async fn report(
-        &self,
-        token: u64,
-        deadline_ms: Option<u64>,
-        seen: u64,
-        wait_ms: u64,
-    ) -> Result<Option<Report>, EndpointError>;
+    /// Requests a report, and renews what `renewal` says. The endpoint waits up to `wait_ms` for a run to end before it
+    /// answers. Returns `None` if the fencing token is too low.
+    ///
+    /// If `renewal` is for another incarnation than the endpoint has, or `None`, the call changes nothing and is answered at
+    /// once; the report then states the incarnation to use.
+    async fn report(&self, token: u64, renewal: Option<Renewal>, wait_ms: u64)
+    -> Result<Option<Report>, EndpointError>;
 
     /// Sets the share of its full speed at which a run may work, in percent.
-    async fn pace(&self, token: u64, task: TaskRef, run: u32, percent: u8) -> Result<(), EndpointError>;
+    async fn pace(
+        &self,
+        incarnation: u64,
+        token: u64,
+        task: TaskRef,
+        run: u32,
+        percent: u8,
+    ) -> Result<(), EndpointError>;
 }
--- /dev/null
+++ b/crates/fleet/tests/restarts.rs
@@ -0,0 +1,119 @@
+//! Tests of what happens to calls that were meant for one incarnation of an endpoint when it restarts at once.
+
+mod support;
+
+use std::rc::Rc;
+
+use fescuelead_core::jobs::RunOutcome;
+use fescuelead_fleet::{
+    agent::Agent,
+    message::{ToAgent, ToLeader},
+};
+use support::{
+    MemoryEndpoint,
+    session::{GRANT_MS, Leader, TASK, run_local, start_agent},
+};
+
+/// How long the agent needs to notice a restart, in milliseconds.
+const NOTICED_MS: u64 = 600;
+
+/// Starts an agent with an endpoint, and opens a session in which it gets a lease.
+async fn open_session() -> (MemoryEndpoint, Rc<Agent>, Leader) {
+    let endpoint = MemoryEndpoint::default();
+    let agent = start_agent(&endpoint).await;
+    let mut leader = Leader::connect(&agent, 1).await;
+    leader.receive_for(NOTICED_MS).await;
+    (endpoint, agent, leader)
+}
+
+/// Restarts the endpoint without a heartbeat that says so.
+fn restart(endpoint: &MemoryEndpoint) {
+    endpoint.crash();
+    endpoint.down.set(false);
+}
+
+/// Guards against running a task twice: the next incarnation carries out a start that was meant for the one before, while
+/// the leader, which learns that the one before has lost its runs, starts the task elsewhere.
+#[tokio::test(start_paused = true)]
+async fn a_start_for_an_earlier_incarnation_is_not_carried_out() {
+    run_local(async {
+        let (endpoint, _agent, mut leader) = open_session().await;
+        restart(&endpoint);
+        leader.start(1).await;
+        leader.receive_for(NOTICED_MS).await;
+        assert!(endpoint.started.borrow().is_empty(), "{:?}", endpoint.started.borrow());
+    })
+    .await;
+}
+
+/// Guards against running a task twice, as above: the endpoint restarts while an unanswered start is being repeated.
+#[tokio::test(start_paused = true)]
+async fn an_unanswered_start_is_not_repeated_to_the_next_incarnation() {
+    run_local(async {
+        let (endpoint, _agent, mut leader) = open_session().await;
+        endpoint.lose_starts.set(1);
+        leader.start(1).await;
+        leader.receive_for(10).await;
+        restart(&endpoint);
+        leader.receive_for(NOTICED_MS).await;
+        assert_eq!(*endpoint.started.borrow(), [(TASK, 1)]);
+    })
+    .await;
+}
+
+/// Guards against a stop that ends or prevents a run of the next incarnation.
+#[tokio::test(start_paused = true)]
+async fn a_stop_for_an_earlier_incarnation_is_not_carried_out() {
+    run_local(async {
+        let (endpoint, _agent, mut leader) = open_session().await;
+        leader.start(1).await;
+        leader.receive_for(NOTICED_MS).await;
+        restart(&endpoint);
+        leader.send(ToAgent::Stop { task: TASK, run: 1 }).await;
+        leader.receive_for(NOTICED_MS).await;
+        assert!(endpoint.stopped.borrow().is_empty(), "{:?}", endpoint.stopped.borrow());
+    })
+    .await;
+}
+
+/// Guards against a lease that outlasts its grant: the deadline was computed for the clock of an earlier incarnation, which
+/// was far ahead of that of the next one.
+#[tokio::test(start_paused = true)]
+async fn a_lease_for_an_earlier_incarnation_is_not_extended_on_the_next() {
+    const UPTIME_MS: u64 = 60_000;
+    run_local(async {
+        let (endpoint, _agent, mut leader) = open_session().await;
+        leader.receive_for(UPTIME_MS).await;
+        assert!(endpoint.lease_end_ms() > UPTIME_MS);
+        restart(&endpoint);
+        leader.receive_for(NOTICED_MS).await;
+        let bound_ms = endpoint.clock_ms() + GRANT_MS;
+        assert!(endpoint.lease_end_ms() <= bound_ms, "{} ms, bound {bound_ms} ms", endpoint.lease_end_ms());
+    })
+    .await;
+}
+
+/// Guards against an end that the leader never hears of: the numbers of ends begin anew with each incarnation, and those up
+/// to a number of an earlier one are forgotten.
+#[tokio::test(start_paused = true)]
+async fn an_end_for_an_earlier_incarnation_is_not_acknowledged_to_the_next() {
+    run_local(async {
+        let (endpoint, _agent, mut leader) = open_session().await;
+        leader.start(1).await;
+        leader.receive_for(NOTICED_MS).await;
+        endpoint.end(TASK, RunOutcome::Failed);
+        leader.receive_for(NOTICED_MS).await;
+        leader.send(ToAgent::Forget { incarnation: 1, up_to: 1 }).await;
+        leader.receive_for(NOTICED_MS).await;
+        assert_eq!(endpoint.forgotten.get(), 1);
+        restart(&endpoint);
+        endpoint.add_ends(TASK);
+        let received = leader.receive_for(NOTICED_MS).await;
+        let first_end = received.iter().find_map(|message| match message {
+            ToLeader::Ended { incarnation: 2, ended } => Some(ended.number),
+            _ => None,
+        });
+        assert_eq!(first_end, Some(1));
+    })
+    .await;
+}
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -12,7 +12,7 @@
 use async_trait::async_trait;
 use fescuelead_core::jobs::{RunEnd, RunOutcome, TaskRef};
 use fescuelead_fleet::{
-    endpoint::{Endpoint, EndpointError, Report, Running, StartAnswer, StartOrder},
+    endpoint::{Endpoint, EndpointError, Renewal, Report, Running, StartAnswer, StartOrder},
     store::{JobRecord, LeaderMark, LeaderRecord, Page, Record, Store, StoreError, Stream},
 };
 use tokio::{
@@ -299,6 +299,12 @@
         Ok(())
     }
 
+    /// Fails if a call is meant for another incarnation than the current one.
+    fn expect_incarnation(&self, expected: u64) -> Result<(), EndpointError> {
+        let found = self.state.borrow().incarnation();
+        if found == expected { Ok(()) } else { Err(EndpointError::OtherIncarnation { expected, found }) }
+    }
+
     fn accepts(&self, token: u64) -> bool {
         let mut state = self.state.borrow_mut();
         let accepted = token >= state.token;
@@ -342,8 +348,9 @@
 
 #[async_trait(?Send)]
 impl Endpoint for MemoryEndpoint {
-    async fn start(&self, token: u64, order: &StartOrder) -> Result<StartAnswer, EndpointError> {
+    async fn start(&self, incarnation: u64, token: u64, order: &StartOrder) -> Result<StartAnswer, EndpointError> {
         self.simulate_call().await?;
+        self.expect_incarnation(incarnation)?;
         if self.delay_starts_ms.get() > 0 {
             let (endpoint, order, delay) =
                 (self.clone(), order.clone(), Duration::from_millis(self.delay_starts_ms.get()));
@@ -357,8 +364,9 @@
         self.carry_out_start(token, order)
     }
 
-    async fn stop(&self, token: u64, task: TaskRef, run: u32) -> Result<bool, EndpointError> {
+    async fn stop(&self, incarnation: u64, token: u64, task: TaskRef, run: u32) -> Result<bool, EndpointError> {
         self.simulate_call().await?;
+        self.expect_incarnation(incarnation)?;
         if !self.accepts(token) {
             return Ok(false);
         }
@@ -378,11 +386,13 @@
     async fn report(
         &self,
         token: u64,
-        deadline_ms: Option<u64>,
-        seen: u64,
+        renewal: Option<Renewal>,
         wait_ms: u64,
     ) -> Result<Option<Report>, EndpointError> {
         self.simulate_call().await?;
+        let renewal = renewal.filter(|renewal| renewal.incarnation == self.state.borrow().incarnation());
+        let wait_ms = if renewal.is_some() { wait_ms } else { 0 };
+        let Renewal { deadline_ms, seen, .. } = renewal.unwrap_or_default();
         if !self.accepts(token) {
             return Ok(None);
         }
@@ -418,7 +428,8 @@
         Ok(Some(report))
     }
 
-    async fn pace(&self, _: u64, _: TaskRef, _: u32, _: u8) -> Result<(), EndpointError> {
-        self.simulate_call().await
+    async fn pace(&self, incarnation: u64, _: u64, _: TaskRef, _: u32, _: u8) -> Result<(), EndpointError> {
+        self.simulate_call().await?;
+        self.expect_incarnation(incarnation)
     }
 }
