Reject a run only if a complete list of ends proves that it does not exist

Cause: an executor lists 500 ended runs at a time. After a start was answered as outdated, or a stop was answered, `check_run` took a run that the next report listed neither as running nor as ended for one that never was. With more ends that cannot be acknowledged, the end was behind the end of the list. The leader started the task again, and acknowledged the end later. The same conclusion was drawn by a new agent process, which rejected an order that it was given again at once when the endpoint drained, refused the start or had no room, and from a list that was short because an end could not be decoded.

Change: a report states whether its list of ends is complete. The adapter decides this from the number of rows received and from unreadable ends of known tasks. agent/evidence.rs alone decides what a report proves about a run: running, ended, absent or unknown. Only an absent run is rejected. Orders note when the endpoint answered a call after which their run cannot start any more, and are decided when a later report arrives; the poll of `check_run` is gone. A line in the log marks when lists begin and cease to be cut off, and fescuelead_incomplete_reports_total counts such reports.

`add_ends` of the in-memory endpoint takes a count; the test that used it adds as many ends as before.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -27,7 +27,7 @@
 
 use crate::{
     clock::Clock,
-    endpoint::{Endpoint, EndpointError, Report, Running},
+    endpoint::{EndList, Endpoint, EndpointError, Report, Running},
     message::{Start, ToAgent, ToLeader},
     metrics::AgentMetrics,
     session,
@@ -71,6 +71,8 @@
     sent: bool,
     /// When the endpoint answered the start; None before.
     started_at: Option<TimeMs>,
+    /// When the endpoint answered a call after which the run cannot start unless it already has; None before.
+    settled_at: Option<TimeMs>,
     /// The share of its full speed that was last set for the run, in percent.
     paced_percent: u8,
     validity: Validity,
@@ -114,6 +116,8 @@
     endpoint_lost: bool,
     /// When the call was sent that the latest report answered; 0 before the first report of an incarnation.
     report_sent_at: TimeMs,
+    /// Whether the latest report lists all ended runs.
+    end_list: EndList,
     running: BTreeMap<TaskRef, Running>,
     orders: BTreeMap<TaskRef, Order>,
     /// Ends that the leader has not confirmed as stored, by number.
@@ -133,7 +137,7 @@
 }
 
 mod crash;
-mod orders;
+mod evidence;
 mod pacing;
 mod room;
 mod starts;
@@ -183,6 +187,7 @@
             crashes: Vec::new(),
             endpoint_lost: false,
             report_sent_at: TimeMs::default(),
+            end_list: EndList::default(),
             running: BTreeMap::new(),
             orders: BTreeMap::new(),
             ends: BTreeMap::new(),
@@ -394,18 +399,20 @@
             }
         }
         state.running = running;
-        state.reject_unlisted_runs(incarnation, sent_at, &report.ended);
+        let listed = report.ended.len();
         for ended in report.ended {
+            state.drop_order(ended.task, ended.run);
             if ended.number <= state.forget_up_to || state.ends.contains_key(&ended.number) {
                 continue;
             }
-            state.drop_order(ended.task, ended.run);
             if ended.end != RunOutcome::Done {
                 log::info!("run ended: task={} run={} host={} end={:?}", ended.task, ended.run, self.name, ended.end);
             }
             state.ends.insert(ended.number, ended.clone());
             state.send(ToLeader::Ended { incarnation, ended });
         }
+        self.observe_end_list(&mut state, report.end_list, listed);
+        state.reject_absent_runs(incarnation);
         if first || recovered {
             state.send_snapshot();
         }
--- a/crates/fleet/src/agent/starts.rs
+++ b/crates/fleet/src/agent/starts.rs
@@ -8,7 +8,7 @@
 };
 use tokio::{task::spawn_local, time::sleep};
 
-use super::{ANSWER_TIMEOUT_MS, Agent, Order, REPORT_WAIT_MS, RETRY_INTERVAL_MS, State, Validity};
+use super::{ANSWER_TIMEOUT_MS, Agent, Order, REPORT_WAIT_MS, RETRY_INTERVAL_MS, State, Validity, evidence::RunStatus};
 use crate::{
     endpoint::{EndpointError, StartAnswer, StartOrder},
     message::{Start, ToLeader},
@@ -47,17 +47,16 @@
             // The leader has sent the order although it was told of the loss, and would wait for this run for good.
             return state.reject(&start);
         }
-        let ended = state.ends.values().any(|ended| ended.task == start.task && ended.run == start.run);
-        if ended {
+        let status = state.run_status(start.task, start.run, TimeMs::default());
+        if status == RunStatus::Ended {
             return;
         }
-        let is_running = state.running.get(&start.task).is_some_and(|running| running.run == start.run);
         let validity = state.order_validity(self.clock.now());
         if let Some(order) = state.orders.get_mut(&start.task).filter(|order| order.run == start.run) {
             order.validity = validity;
             return;
         }
-        if !is_running && (state.shutting_down || state.is_leaving()) {
+        if status == RunStatus::Absent && (state.shutting_down || state.is_leaving()) {
             return state.reject(&start);
         }
         let order = Order {
@@ -67,14 +66,15 @@
             tail_target_ms: start.tail_target_ms,
             image: start.image.clone(),
             stopping: false,
-            sent: is_running,
+            sent: status == RunStatus::Running,
             started_at: None,
+            settled_at: None,
             paced_percent: 100,
             validity,
         };
         state.orders.insert(start.task, order);
         drop(state);
-        if !is_running {
+        if status != RunStatus::Running {
             spawn_local(self.clone().repeat_start(start));
         }
     }
@@ -111,7 +111,9 @@
                     sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
                 }
                 // An earlier attempt may have started the run, which has ended since.
-                Ok(StartAnswer::Rejected(Rejection::Outdated)) => return self.check_run(incarnation, task, run).await,
+                Ok(StartAnswer::Rejected(Rejection::Outdated)) => {
+                    return self.state.borrow_mut().record_settled(incarnation, task, run, self.clock.now());
+                }
                 Ok(StartAnswer::Rejected(reason)) => {
                     return self.refuse_start(incarnation, task, run, reason, unanswered).await;
                 }
@@ -135,17 +137,37 @@
         unanswered: bool,
     ) {
         log::info!("start refused: task={task} run={run} host={} reason={reason:?}", self.name);
-        if unanswered {
-            // An earlier attempt without an answer may still start the run; a stop prevents that.
-            return self.repeat_stop(incarnation, task, run).await;
+        let status = self.state.borrow().run_status(task, run, TimeMs::default());
+        match status {
+            // The report that lists it has arrived during the last attempt.
+            RunStatus::Running => self.state.borrow_mut().record_start(incarnation, task, run, self.clock.now()),
+            RunStatus::Absent if !unanswered => {
+                let mut state = self.state.borrow_mut();
+                state.drop_order(task, run);
+                state.send(ToLeader::Rejected { incarnation, task, run, reason });
+            }
+            // An earlier attempt without an answer may still start the run, or an earlier agent process has started it; a
+            // stop settles that.
+            RunStatus::Absent | RunStatus::Ended | RunStatus::Unknown => {
+                self.repeat_stop(incarnation, task, run).await;
+            }
         }
-        let mut state = self.state.borrow_mut();
-        state.drop_order(task, run);
-        state.send(ToLeader::Rejected { incarnation, task, run, reason });
     }
 }
 
 impl State {
+    /// Notes that the answer to the start of a run on `incarnation` arrived at `now`.
+    fn record_start(&mut self, incarnation: u64, task: TaskRef, run: u32, now: TimeMs) {
+        if self.incarnation == Some(incarnation)
+            && let Some(order) = self.orders.get_mut(&task).filter(|order| order.run == run)
+        {
+            order.started_at = Some(now);
+            if !order.stopping {
+                order.settled_at = Some(now);
+            }
+        }
+    }
+
     /// The validity of an order that the leader gives now.
     pub(super) fn order_validity(&self, now: TimeMs) -> Validity {
         Validity { session: self.session_number, expires_at: now.plus_ms(ORDER_VALIDITY_MS) }
@@ -167,7 +189,7 @@
         };
         let is_expired = order.validity.expires_at <= now;
         let is_of_this_session = order.validity.session == self.session_number;
-        if self.running.get(&task).is_some_and(|running| running.run == run) {
+        if self.is_running(task, run) {
             self.record_start(incarnation, task, run, now);
             return NextAttempt::Settled;
         }
--- a/crates/fleet/src/agent/stops.rs
+++ b/crates/fleet/src/agent/stops.rs
@@ -3,19 +3,21 @@
 use std::{rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{Rejection, TaskRef},
-    units::Resources,
+    jobs::TaskRef,
+    units::{Resources, TimeMs},
 };
 use tokio::{task::spawn_local, time::sleep};
 
-use super::{ANSWER_TIMEOUT_MS, Agent, Order, RETRY_INTERVAL_MS};
-use crate::message::ToLeader;
+use super::{ANSWER_TIMEOUT_MS, Agent, Order, RETRY_INTERVAL_MS, evidence::RunStatus};
 
 impl Agent {
     /// Handles an order of the leader to stop a run, or to prevent it from starting.
     pub(super) fn handle_stop(self: &Rc<Self>, task: TaskRef, run: u32) {
         let mut state = self.state.borrow_mut();
         let Some(incarnation) = state.incarnation else { return };
+        if state.run_status(task, run, TimeMs::default()) == RunStatus::Ended {
+            return;
+        }
         let validity = state.order_validity(self.clock.now());
         let order = state.orders.entry(task).or_insert(Order {
             run,
@@ -26,12 +28,15 @@
             stopping: false,
             sent: false,
             started_at: None,
+            settled_at: None,
             paced_percent: 100,
             validity,
         });
         if order.run != run || std::mem::replace(&mut order.stopping, true) {
             return;
         }
+        // The stop settles whether the run exists, also if its start was answered before.
+        order.settled_at = None;
         drop(state);
         spawn_local(self.clone().repeat_stop(incarnation, task, run));
     }
@@ -55,31 +60,12 @@
                 continue;
             }
             match self.call("stop", ANSWER_TIMEOUT_MS, self.endpoint.stop(token, task, run)).await {
-                Ok(true) => return self.check_run(incarnation, task, run).await,
+                Ok(true) => {
+                    return self.state.borrow_mut().record_settled(incarnation, task, run, self.clock.now());
+                }
                 Ok(false) => self.raise_token(token),
                 Err(_) => sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await,
             }
         }
     }
-
-    /// Waits for a report that is requested after this call. A run that this report lists neither as running nor as
-    /// ended will never start, and is rejected.
-    pub(super) async fn check_run(self: Rc<Self>, incarnation: u64, task: TaskRef, run: u32) {
-        let since = self.clock.now();
-        loop {
-            sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
-            let mut state = self.state.borrow_mut();
-            let is_pending = state.incarnation == Some(incarnation)
-                && !state.endpoint_lost
-                && state.orders.get(&task).is_some_and(|order| order.run == run);
-            if !is_pending {
-                return;
-            }
-            if state.report_sent_at > since && state.running.get(&task).is_none_or(|running| running.run != run) {
-                state.drop_order(task, run);
-                state.send(ToLeader::Rejected { incarnation, task, run, reason: Rejection::Outdated });
-                return;
-            }
-        }
-    }
 }
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -49,6 +49,16 @@
     pub reading: u32,
 }
 
+/// Whether a report lists all ended runs that the endpoint has not been allowed to forget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum EndList {
+    /// It lists all of them, so a run that the report does not list does not exist.
+    Complete,
+    /// It may omit some, for example because the endpoint lists a limited number at a time.
+    #[default]
+    Incomplete,
+}
+
 /// The running and the ended runs of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Report {
@@ -58,8 +68,10 @@
     pub clock_ms: u64,
     /// All runs that have started and not ended.
     pub running: Vec<Running>,
-    /// RunEnd runs that the endpoint has not been allowed to forget, by increasing number.
+    /// Ended runs that the endpoint has not been allowed to forget, by increasing number.
     pub ended: Vec<RunEnd>,
+    /// Whether `ended` lists all of them.
+    pub end_list: EndList,
 }
 
 /// Why a call to an endpoint failed.
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -105,7 +105,8 @@
         /// The endpoint's latest announcement; `None` if there is none yet or the endpoint is lost.
         Info(Option<HostInfo>),
         /// All runs on the endpoint. Sent when a session opens and when the endpoint answers again after a restart or a
-        /// loss, in both cases after all ended runs.
+        /// loss, in both cases after the ended runs that are known. The endpoint lists a limited number of them at a time, so
+        /// a run that is in neither may have ended.
         Runs {
             /// The incarnation of the endpoint.
             incarnation: u64,
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -136,6 +136,7 @@
     pub running: Gauge,
     pub paced_images: Gauge,
     pub sessions: Counter,
+    pub incomplete_reports: Counter,
 }
 
 impl AgentMetrics {
@@ -150,6 +151,11 @@
         r.register("running_tasks", "Tasks that the endpoint runs", self.running.clone());
         r.register("paced_images", "Images of background tasks that are slowed here", self.paced_images.clone());
         r.register("leader_sessions", "Sessions that leaders opened", self.sessions.clone());
+        r.register(
+            "incomplete_reports",
+            "Reports of the endpoint that may omit ended runs",
+            self.incomplete_reports.clone(),
+        );
         encode(&r)
     }
 }
--- a/crates/fleet/tests/agent.rs
+++ b/crates/fleet/tests/agent.rs
@@ -397,7 +397,7 @@
         leader.receive_for(600).await;
         leader.start(1).await;
         leader.receive_for(100).await;
-        endpoint.add_ends(TaskRef { index: 1, ..TASK });
+        endpoint.add_ends(TaskRef { index: 1, ..TASK }, MAX_LISTED_ENDS);
         endpoint.end(TASK, RunOutcome::Done);
         let received = leader.receive_for(2_000).await;
         assert!(!rejected(&received), "{received:?}");
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -12,7 +12,7 @@
 use async_trait::async_trait;
 use fescuelead_core::jobs::{RunEnd, RunOutcome, TaskRef};
 use fescuelead_fleet::{
-    endpoint::{Endpoint, EndpointError, Report, Running, StartAnswer, StartOrder},
+    endpoint::{EndList, Endpoint, EndpointError, Report, Running, StartAnswer, StartOrder},
     store::{JobRecord, LeaderMark, LeaderRecord, Page, Record, Store, StoreError, Stream},
 };
 use tokio::{
@@ -218,6 +218,8 @@
     pub misdirect_starts: Rc<Cell<u32>>,
     /// How long after their arrival starts are carried out, in milliseconds. They get no answer unless this is 0.
     pub delay_starts_ms: Rc<Cell<u64>>,
+    /// Whether the ended runs that a report lists cannot be read.
+    pub unreadable_ends: Rc<Cell<bool>>,
     /// How long the answer of a report call is under way, in milliseconds.
     pub late_reports_ms: Rc<Cell<u64>>,
     /// All runs that were started, in order.
@@ -229,6 +231,14 @@
 }
 
 impl MemoryEndpoint {
+    /// Starts a run, as an earlier agent process would have ordered.
+    pub fn begin(&self, task: TaskRef, run: u32) {
+        let mut state = self.state.borrow_mut();
+        state.runs.insert(task, run);
+        state.highest_run.insert(task, run);
+        self.started.borrow_mut().push((task, run));
+    }
+
     /// Ends the run of a task, if there is one.
     pub fn end(&self, task: TaskRef, end: RunOutcome) {
         let mut state = self.state.borrow_mut();
@@ -253,10 +263,10 @@
         self.state.borrow_mut().runs.remove(&task);
     }
 
-    /// Adds as many ended runs of the task `task` as a report lists at a time.
-    pub fn add_ends(&self, task: TaskRef) {
+    /// Adds `count` ended runs of `task`.
+    pub fn add_ends(&self, task: TaskRef, count: usize) {
         let mut state = self.state.borrow_mut();
-        for run in (1..).take(MAX_LISTED_ENDS) {
+        for run in (1..).take(count) {
             state.last_number += 1;
             let number = state.last_number;
             state.ended.insert(number, RunEnd { number, task, run, end: RunOutcome::Done, checkpoint: None });
@@ -408,8 +418,11 @@
             let state = self.state.borrow();
             let running =
                 state.runs.iter().map(|(&task, &run)| Running { task, run, checkpoint: None, reading: 0 }).collect();
-            let ended = state.ended.values().take(MAX_LISTED_ENDS).cloned().collect();
-            Report { incarnation: state.incarnation(), clock_ms: self.clock_ms(), running, ended }
+            let listed = if self.unreadable_ends.get() { 0 } else { MAX_LISTED_ENDS };
+            let ended: Vec<_> = state.ended.values().take(listed).cloned().collect();
+            let is_complete = state.ended.len() < MAX_LISTED_ENDS && ended.len() == state.ended.len();
+            let end_list = if is_complete { EndList::Complete } else { EndList::Incomplete };
+            Report { incarnation: state.incarnation(), clock_ms: self.clock_ms(), running, ended, end_list }
         };
         if self.late_reports_ms.get() > 0 {
             sleep(Duration::from_millis(self.late_reports_ms.get())).await;
