Reject a run that a new agent process took over and that has vanished

Callers saw a task that counted as running for good: a new agent process is given the order for a run that its endpoint lists as running, and a later report lists it neither as running nor as ended.

Cause: only orders whose start or stop was answered to the same process were compared with later reports. The run that was taken over needs no start.

Change: such an order counts as settled since the report that listed the run.

--- a/crates/fleet/src/agent/starts.rs
+++ b/crates/fleet/src/agent/starts.rs
@@ -68,7 +68,7 @@
             stopping: false,
             sent: status == RunStatus::Running,
             started_at: None,
-            settled_at: None,
+            settled_at: (status == RunStatus::Running).then_some(state.report_sent_at),
             paced_percent: 100,
             validity,
         };
--- a/crates/fleet/tests/cut_off_reports.rs
+++ b/crates/fleet/tests/cut_off_reports.rs
@@ -214,3 +214,21 @@
     })
     .await;
 }
+
+/// Guards against a task that the leader believes to be running for good: a new agent process is given the order for a run
+/// that its endpoint lists as running, and which no longer exists later.
+#[tokio::test(start_paused = true)]
+async fn a_run_of_an_earlier_agent_that_goes_missing_is_rejected() {
+    run_local(async {
+        let endpoint = MemoryEndpoint::default();
+        endpoint.begin(TASK, 1);
+        let mut leader = open_session(&endpoint).await;
+        leader.start(1).await;
+        let received = leader.receive_for(2_000).await;
+        assert_eq!(said(&received, TASK), []);
+        endpoint.lose(TASK);
+        let received = leader.receive_for(3_000).await;
+        assert_eq!(said(&received, TASK), [Said::Rejected(Rejection::Outdated)]);
+    })
+    .await;
+}
