--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -10,7 +10,7 @@
     message::{ToAgent, ToLeader},
 };
 use support::{
-    MemoryEndpoint,
+    MAX_LISTED_ENDS, MemoryEndpoint,
     session::{GRANT_MS, Leader, TASK, run_local, start_agent},
 };
 
@@ -107,7 +107,7 @@
         leader.receive_for(NOTICED_MS).await;
         assert_eq!(endpoint.forgotten.get(), 1);
         restart(&endpoint);
-        endpoint.add_ends(TASK);
+        endpoint.add_ends(TASK, MAX_LISTED_ENDS);
         let received = leader.receive_for(NOTICED_MS).await;
         let first_end = received.iter().find_map(|message| match message {
             ToLeader::Ended { incarnation: 2, ended } => Some(ended.number),
