Set a host aside for a task on trial that finds no quiet one

After one counted crash a task starts only on a host to which no run was assigned for 100 ms.

A task on trial that has found no quiet host for 1 s gets the best host with room set aside, which takes nothing else until the trial begins. The reservation is checked in each tick, and is released when the task does not wait any more or cannot run there. It is not stored. A gang gets hosts for all members or none. Reserved hosts count towards the limit of three quarters. Tasks on trial come first within their step, because the search ended at the first task without a host.

--- a/crates/core/src/jobs/hosts.rs
+++ b/crates/core/src/jobs/hosts.rs
@@ -106,6 +106,9 @@
     avoid_until: TimeMs,
     /// Until when the host starts nothing else because a run on trial was assigned to it.
     pub trial_until: Option<TimeMs>,
+    /// The task on trial that the host is set aside for: nothing else starts there. Stands for its whole gang if it is a
+    /// member of one. Not stored; a new leader sets hosts aside anew.
+    pub reserved_for: Option<TaskRef>,
     /// When a run was last assigned to the host, or when the leader took over with runs on it.
     assigned_at: Option<TimeMs>,
 }
@@ -131,6 +134,7 @@
             ends: 0,
             avoid_until: TimeMs::default(),
             trial_until: None,
+            reserved_for: None,
             assigned_at: None,
         }
     }
@@ -231,6 +235,11 @@
         self.trial_until.is_some_and(|until| now < until)
     }
 
+    /// Whether a trial closes the host to other tasks: one that has just begun, or one that the host is set aside for.
+    pub fn is_closed(&self, now: TimeMs) -> bool {
+        self.reserved_for.is_some() || self.has_trial(now)
+    }
+
     /// The number of runs on this host of tasks in the same step and occurrence as `task`.
     pub fn count_step_tasks(&self, task: &TaskRef) -> usize {
         let first = TaskRef { index: 0, ..*task };
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -28,6 +28,7 @@
 mod order;
 mod placing;
 mod sessions;
+mod trials;
 
 pub(super) use crashes::QUIET_MS;
 pub use crashes::{CountedCrash, SUSPECT_AGE_MS, TRIAL_MS};
@@ -181,6 +182,8 @@
     send_pairs_at: TimeMs,
     move_at: TimeMs,
     mean_work: MeanWork,
+    /// Since when tasks on trial have had turns without a host; the first member stands for its gang.
+    trial_waits: BTreeMap<TaskRef, TimeMs>,
 }
 
 impl Scheduler {
@@ -210,6 +213,7 @@
             send_pairs_at: now.at,
             move_at: now.at,
             mean_work: MeanWork::default(),
+            trial_waits: BTreeMap::new(),
         };
         let unreachable = Link::Unreachable { lost_at: plan.lost_after_takeover(now.at) };
         for host in known_hosts {
@@ -418,6 +422,7 @@
             self.refresh_job(job, now);
         }
         self.end_trials(now.at);
+        self.check_reservations(now.at);
         self.place(now);
         self.move_throttled(now.at);
     }
--- a/crates/core/src/jobs/scheduler/crashes.rs
+++ b/crates/core/src/jobs/scheduler/crashes.rs
@@ -4,17 +4,15 @@
 A task may crash every endpoint that starts it, and each crash ends all other runs on the host. The agent names the runs
 that had just started; the leader counts a crash against each of their tasks and stores the counts with the job. A task
 with a count is on trial whenever it starts again: its host has started nothing else for [`QUIET_MS`] and starts nothing
-else for [`TRIAL_MS`], so that the order of the starts shows which task is the cause of a crash.
+else for [`TRIAL_MS`], so that the order of the starts shows which task is the cause of a crash. The module `trials` finds
+the host.
 */
 
 use super::{Moment, RunOutcome, Scheduler};
-use crate::{
-    jobs::{
-        hosts::{HostName, Link, UNKNOWN_INCARNATION},
-        progress::{Phase, TaskState},
-        spec::TaskRef,
-    },
-    units::TimeMs,
+use crate::jobs::{
+    hosts::{HostName, Link, UNKNOWN_INCARNATION},
+    progress::{Phase, TaskState},
+    spec::TaskRef,
 };
 
 /// A run that had started at most this long before its endpoint crashed may be the cause, in milliseconds.
@@ -31,9 +29,6 @@
 /// The number of crashes at which a task is given up in any case. The platform allows five starts of such a task, and the
 /// crash after one of them may go uncounted.
 const MAX_CRASHES: u32 = 4;
-/// The maximum share of the hosts of a service that are closed to other tasks by trials, in percent.
-const MAX_TRIAL_HOSTS_PERCENT: usize = 75;
-
 plain! {
     /// A crash that was counted against a task.
     pub struct CountedCrash {
@@ -136,28 +131,4 @@
             self.run_gone(name, &task, RunOutcome::Interrupted, None, now);
         }
     }
-
-    /// Whether a further trial may begin on a host of a service. Linear in the number of hosts.
-    pub(super) fn may_begin_trial(&self, service: &str, now: TimeMs) -> bool {
-        let (mut hosts, mut trials) = (0, 0);
-        for host in self.hosts.values().filter(|host| host.link == Link::Connected) {
-            if host.info.as_ref().is_some_and(|info| info.service == service) {
-                hosts += 1;
-                trials += usize::from(host.has_trial(now));
-            }
-        }
-        trials < (hosts * MAX_TRIAL_HOSTS_PERCENT / 100).max(1)
-    }
-
-    /// Opens hosts to further runs whose trials have ended.
-    pub(super) fn end_trials(&mut self, now: TimeMs) {
-        let ended = self.hosts.iter().filter(|(_, host)| host.trial_until.is_some() && !host.has_trial(now));
-        let ended: Vec<_> = ended.map(|(name, _)| name.clone()).collect();
-        for name in ended {
-            if let Some(host) = self.hosts.get_mut(&name) {
-                host.trial_until = None;
-            }
-            self.host_changed(&name);
-        }
-    }
 }
--- a/crates/core/src/jobs/scheduler/placing.rs
+++ b/crates/core/src/jobs/scheduler/placing.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use super::{Effect, Moment, QUIET_MS, ReadyKey, Scheduler, StepRef};
+use super::{Effect, Moment, ReadyKey, Scheduler, StepRef, trials::holder};
 use crate::{
     interference::ClassId,
     jobs::{
@@ -30,21 +30,37 @@
 /// The requirements of the tasks of a step on a host.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Requirements<'s> {
-    step: &'s StepSpec,
+    pub step: &'s StepSpec,
     image: Option<ClassId>,
-    service: &'s str,
+    pub service: &'s str,
     label: Option<&'s str>,
     /// The minimum expected speed of a background task, in percent.
     min_speed_percent: u32,
     /// A host that is not eligible.
     excluded: Option<&'s HostName>,
+    /// The hosts set aside for trials that are eligible; none otherwise.
+    reserved_for: Option<TaskRef>,
+    /// Whether only hosts set aside for `reserved_for` are eligible.
+    only_reserved: bool,
+    /// Whether a host is eligible for a task on trial before the trial may begin there.
+    before_quiet: bool,
 }
 
 impl<'s> Requirements<'s> {
     /// Requires a host of `service` with enough free resources for a task of `step`.
     pub fn new(step: &'s StepSpec, service: &'s str, interference: &mut ImageInterference) -> Self {
         let image = step.image.as_deref().map(|image| interference.image_id(image));
-        Self { step, image, service, label: None, min_speed_percent: MIN_SPEED_PERCENT, excluded: None }
+        Self {
+            step,
+            image,
+            service,
+            label: None,
+            min_speed_percent: MIN_SPEED_PERCENT,
+            excluded: None,
+            reserved_for: None,
+            only_reserved: false,
+            before_quiet: false,
+        }
     }
 
     /// Additionally requires this label, if there is one.
@@ -57,6 +73,28 @@
         Self { excluded: Some(host), ..self }
     }
 
+    /// Also allows the hosts that are set aside for this task on trial.
+    pub fn with_reserved_for(self, holder: TaskRef) -> Self {
+        Self { reserved_for: Some(holder), ..self }
+    }
+
+    /// Allows no other hosts than those of [`Self::with_reserved_for`].
+    pub fn with_only_reserved(self) -> Self {
+        Self { only_reserved: true, ..self }
+    }
+
+    /// Also allows hosts on which a trial may begin later, once nothing has started there for long enough.
+    pub fn with_hosts_before_quiet(self) -> Self {
+        Self { before_quiet: true, ..self }
+    }
+
+    fn allows_reservation(&self, reserved_for: Option<TaskRef>) -> bool {
+        match reserved_for {
+            Some(_) => reserved_for == self.reserved_for,
+            None => !self.only_reserved,
+        }
+    }
+
     /// Requires at least this speed for a background task, in percent.
     pub fn with_min_speed(self, min_speed_percent: u32) -> Self {
         Self { min_speed_percent, ..self }
@@ -65,8 +103,8 @@
 
 /// A host that can run a task.
 #[derive(Debug)]
-struct Candidate {
-    host: HostName,
+pub(super) struct Candidate {
+    pub host: HostName,
     score: i64,
     /// Subtracted from the score for a task on trial.
     trial_penalty: i64,
@@ -75,12 +113,13 @@
 }
 
 impl Candidate {
-    fn accepts(&self, history: History<'_>) -> bool {
+    /// Whether the host may start the task now.
+    pub fn accepts(&self, history: History<'_>) -> bool {
         self.quiet || !history.on_trial
     }
 
     /// The score for a task with earlier runs.
-    fn score(&self, history: History<'_>) -> i64 {
+    pub fn score(&self, history: History<'_>) -> i64 {
         let failed_here = history.failed_on.is_some_and(|hosts| hosts.contains(&self.host));
         let failed_penalty = if failed_here { FAILED_HERE_PENALTY } else { 0 };
         self.score - failed_penalty - if history.on_trial { self.trial_penalty } else { 0 }
@@ -89,11 +128,11 @@
 
 /// What the earlier runs of a task mean for the choice of a host.
 #[derive(Debug, Clone, Copy, Default)]
-struct History<'a> {
+pub(super) struct History<'a> {
     /// The hosts on which runs have failed or met a crash.
     failed_on: Option<&'a BTreeSet<HostName>>,
     /// Whether the next run is on trial because endpoints have crashed right after earlier starts.
-    on_trial: bool,
+    pub on_trial: bool,
 }
 
 impl Scheduler {
@@ -170,24 +209,24 @@
             Some(changed) => changed.iter().filter_map(candidate).collect(),
             None => self.hosts.keys().filter_map(candidate).collect(),
         };
-        for (nth, (task, run)) in waiting.iter().enumerate() {
-            let history = self.history(task, requirements.step);
-            let on_trial = history.on_trial;
-            if on_trial && !self.may_begin_trial(requirements.service, now) {
-                continue;
+        // Trials come first: their reserved hosts do not depend on whether the other tasks find one.
+        let (trials, others): (Vec<_>, Vec<_>) =
+            waiting.iter().partition(|(task, _)| self.history(task, requirements.step).on_trial);
+        let is_first = |nth: usize| idle && nth == 0;
+        for (nth, waiting) in trials.iter().enumerate() {
+            let fallback = changed.is_none().then_some(is_first(nth));
+            if let Some(closed) = self.place_on_trial(spec, requirements, waiting, &candidates, fallback, now) {
+                candidates.retain(|candidate| candidate.host != closed);
             }
-            let accepting = candidates.iter().enumerate().filter(|(_, candidate)| candidate.accepts(history));
-            let best = accepting.max_by_key(|(_, candidate)| candidate.score(history));
+        }
+        for (nth, (task, run)) in others.iter().enumerate() {
+            let history = self.history(task, requirements.step);
+            let best = candidates.iter().enumerate().max_by_key(|(_, candidate)| candidate.score(history));
             let best = best.map(|(index, candidate)| (Some(index), candidate.host.clone()));
-            if best.is_none() && on_trial && !candidates.is_empty() {
-                // A host becomes quiet without an event of its own.
-                self.full_placement_at = self.full_placement_at.min(now.plus_ms(QUIET_MS));
-                continue;
-            }
             let (index, host) = match best {
                 Some(best) => best,
                 None if changed.is_some() => break,
-                None => match self.fallback_host(task, requirements, idle, nth == 0, now) {
+                None => match self.fallback_host(task, requirements, is_first(trials.len() + nth), now) {
                     Some(host) => (None, host),
                     None => break,
                 },
@@ -204,18 +243,16 @@
 
     /// The best host for a background task that no host can run at the minimum speed. Only for the first task of an
     /// idle job, or while most of the service is uncommitted.
-    fn fallback_host(
+    pub(super) fn fallback_host(
         &self,
         task: &TaskRef,
         requirements: &Requirements<'_>,
-        idle: bool,
-        first: bool,
+        starts_idle_job: bool,
         now: TimeMs,
     ) -> Option<HostName> {
         if !requirements.step.background {
             return None;
         }
-        let starts_idle_job = idle && first;
         if !starts_idle_job && !self.is_mostly_uncommitted(requirements.service) {
             return None;
         }
@@ -232,7 +269,12 @@
         now: TimeMs,
     ) -> Option<Candidate> {
         let host = self.hosts.get(name)?;
-        if host.has_trial(now) || !host.can_run(task, requirements.step, requirements.service, &self.zones_out) {
+        if host.has_trial(now) && !requirements.before_quiet {
+            return None;
+        }
+        if !requirements.allows_reservation(host.reserved_for)
+            || !host.can_run(task, requirements.step, requirements.service, &self.zones_out)
+        {
             return None;
         }
         let Requirements { step, image, .. } = *requirements;
@@ -244,10 +286,11 @@
             }
         }
         let score = host.score(step, image, fit, &self.interference, now);
-        Some(Candidate { host: name.clone(), score, trial_penalty: host.trial_penalty(), quiet: host.is_quiet(now) })
+        let quiet = host.is_quiet(now) && !host.has_trial(now);
+        Some(Candidate { host: name.clone(), score, trial_penalty: host.trial_penalty(), quiet })
     }
 
-    fn history(&self, task: &TaskRef, step: &StepSpec) -> History<'_> {
+    pub(super) fn history(&self, task: &TaskRef, step: &StepSpec) -> History<'_> {
         self.jobs.get(&task.job).map_or_else(History::default, |job| History {
             failed_on: job.failed_on.get(task),
             on_trial: job.progress.is_on_trial(task, step.gang),
@@ -281,11 +324,27 @@
         if waiting.len() < tasks {
             return;
         }
+        let run = waiting.iter().map(|(_, run)| run).max().map_or(1, |run| run + 1);
         let on_trial = waiting.iter().any(|(task, _)| self.history(task, step).on_trial);
-        if on_trial && !self.may_begin_trial(requirements.service, now) {
-            return;
+        let chosen = if on_trial {
+            self.gang_trial_hosts(waiting, requirements, now)
+        } else {
+            self.gang_hosts(waiting, requirements, now)
+        };
+        for (task, host) in chosen.into_iter().flatten() {
+            self.assign(&task, run, host, spec, now);
         }
-        let run = waiting.iter().map(|(_, run)| run).max().map_or(1, |run| run + 1);
+    }
+
+    /// A host for each member of a gang; `None` if not all members find one. Linear in the number of members times the
+    /// number of hosts, and in the number of racks if the members need the same one.
+    pub(super) fn gang_hosts(
+        &mut self,
+        waiting: &[(TaskRef, u32)],
+        requirements: &Requirements<'_>,
+        now: TimeMs,
+    ) -> Option<Vec<(TaskRef, HostName)>> {
+        let step = requirements.step;
         let mut racks: Vec<Option<String>> = vec![None];
         if step.same_rack {
             let labels: BTreeSet<_> = self
@@ -298,12 +357,12 @@
         }
         for rack in racks {
             let mut chosen = Vec::new();
-            for (task, _) in waiting {
+            for (task, run) in waiting {
                 let Some(host) = self.best_host(task, &requirements.with_label(rack.as_deref()), now) else {
                     break;
                 };
                 if let Some(host) = self.hosts.get_mut(&host) {
-                    host.add(*task, run, step, requirements.image);
+                    host.add(*task, run + 1, step, requirements.image);
                 }
                 chosen.push((*task, host));
             }
@@ -313,12 +372,10 @@
                 }
             }
             if chosen.len() == waiting.len() {
-                for (task, host) in chosen {
-                    self.assign(&task, run, host, spec, now);
-                }
-                return;
+                return Some(chosen);
             }
         }
+        None
     }
 
     /// The host with the highest score among those that can run a task. Linear in the number of hosts.
@@ -333,12 +390,12 @@
                     .is_none_or(|label| host.info.as_ref().is_some_and(|info| info.labels.contains(label)))
             })
             .filter_map(|(name, _)| self.candidate(name, task, requirements, now))
-            .filter(|candidate| candidate.accepts(history))
+            .filter(|candidate| requirements.before_quiet || candidate.accepts(history))
             .max_by_key(|candidate| candidate.score(history))
             .map(|candidate| candidate.host)
     }
 
-    fn assign(&mut self, task: &TaskRef, run: u32, name: HostName, spec: &Arc<JobSpec>, now: TimeMs) {
+    pub(super) fn assign(&mut self, task: &TaskRef, run: u32, name: HostName, spec: &Arc<JobSpec>, now: TimeMs) {
         let Some(host) = self.hosts.get_mut(&name) else { return };
         let Some(incarnation) = host.incarnation else { return };
         let Some(step) = spec.steps.get(task.step as usize) else { return };
@@ -352,8 +409,14 @@
         progress.state = TaskState::Assigned { host: name.clone(), incarnation };
         let checkpoint = progress.checkpoint.clone();
         job.progress.begun = true;
-        host.record_assignment(job.progress.is_on_trial(task, step.gang), now);
+        let on_trial = job.progress.is_on_trial(task, step.gang);
+        host.record_assignment(on_trial, now);
         self.changed.insert(task.job);
+        if on_trial {
+            let holder = holder(task, step);
+            self.trial_waits.remove(&holder);
+            self.release_hosts(&holder, &BTreeSet::new());
+        }
         let (spec, reported) = (spec.clone(), false);
         self.effects.push(Effect::Start { host: name, incarnation, task: *task, run, spec, checkpoint, reported });
     }
