--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -29,6 +29,7 @@
 mod placing;
 mod sessions;
 mod started;
+mod trials;
 
 pub(super) use crashes::QUIET_MS;
 pub use crashes::{CountedCrash, SUSPECT_AGE_MS, TRIAL_MS};
@@ -184,6 +185,8 @@
     send_pairs_at: TimeMs,
     move_at: TimeMs,
     mean_work: MeanWork,
+    /// Since when tasks on trial have had turns without a host; the first member stands for its gang.
+    trial_waits: BTreeMap<TaskRef, TimeMs>,
 }
 
 impl Scheduler {
@@ -214,6 +217,7 @@
             send_pairs_at: now.at,
             move_at: now.at,
             mean_work: MeanWork::default(),
+            trial_waits: BTreeMap::new(),
         };
         let unreachable = Link::Unreachable { lost_at: plan.lost_after_takeover(now.at) };
         for host in known_hosts {
@@ -424,6 +428,7 @@
         }
         self.store_due_starts(now);
         self.end_trials(now.at);
+        self.check_reservations(now.at);
         self.place(now);
         self.move_throttled(now.at);
     }
