Take over what the next incarnation of an endpoint runs

A call without an answer may be carried out seconds later, also by the next incarnation of the endpoint. The leader took all runs of the earlier one for lost and started their tasks elsewhere, beside those runs.

Cause: the agent told of the loss before it knew what the next incarnation runs, and the leader counted runs, ends and checkpoints only if they came from the very incarnation that a task was assigned to.

Change: after a restart the agent offers nothing until the first report, and then tells the ends, the loss with the runs that are taken over, and all runs. The leader assigns listed runs to the next incarnation, also when a new agent or leader hears of it first, and counts ends and checkpoints of a later incarnation than the assigned one. Gone has a trailing field that earlier versions ignore. Suspects of crashes are counted as before.

Existing tests: crashes.rs, agent.rs and versions.rs construct Gone with the new field; versions.rs also reads the message without it.

--- a/crates/core/src/jobs/progress.rs
+++ b/crates/core/src/jobs/progress.rs
@@ -81,6 +81,16 @@
                 TaskState::Assigned { host, incarnation } if host == on_host && *incarnation == on_incarnation
             )
     }
+
+    /// Whether the task is assigned to this incarnation of a host or to an earlier one, under this run number. An
+    /// incarnation may run what was meant for the one before.
+    pub fn may_run_on(&self, on_host: &HostName, on_incarnation: u64, run: u32) -> bool {
+        self.run == run
+            && matches!(
+                &self.state,
+                TaskState::Assigned { host, incarnation } if host == on_host && *incarnation <= on_incarnation
+            )
+    }
 }
 
 impl Default for TaskProgress {
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -302,10 +302,12 @@
     /// Reconciles the runs that a host reports with those assigned to it, after the host has reported all ends of runs.
     /// Unknown runs are stopped; assigned runs are started, or their description is sent again. A run that is missing on a
     /// host on which no run may start any more is stopped: an earlier order may still start it, so that its task goes
-    /// elsewhere only after the host has confirmed the stop.
+    /// elsewhere only after the host has confirmed the stop. Reported runs that are assigned to another incarnation of the
+    /// host are taken over.
     pub fn reconcile_host(&mut self, name: &HostName, incarnation: u64, running: &[(TaskRef, u32)], now: Moment) {
+        self.take_over_runs(name, incarnation, running);
         if self.hosts.get(name).is_some_and(|host| host.incarnation != Some(incarnation)) {
-            self.host_lost(name, now);
+            self.end_runs(name, |_, _, on| on == incarnation, now);
         }
         let Some(host) = self.hosts.get_mut(name) else { return };
         host.incarnation = Some(incarnation);
@@ -350,9 +352,10 @@
     }
 
     /// Handles a host's report of the end of a run, and acknowledges the report. A run that is not the assigned one is
-    /// ignored.
+    /// ignored; a run that is assigned to an earlier incarnation of the host has ended on this one.
     pub fn run_ended(&mut self, name: &HostName, incarnation: u64, ended: &RunEnd, now: Moment) {
-        if self.is_assigned(name, incarnation, &ended.task, ended.run) {
+        let progress = self.jobs.get(&ended.task.job).and_then(|job| job.progress.task(&ended.task));
+        if progress.is_some_and(|progress| progress.may_run_on(name, incarnation, ended.run)) {
             if ended.end != RunOutcome::Interrupted
                 && let Some(host) = self.hosts.get_mut(name)
             {
@@ -396,7 +399,7 @@
     ) {
         if let Some(job) = self.jobs.get_mut(&task.job)
             && let Some(progress) = job.progress.task_mut(task)
-            && progress.is_assigned_to(name, incarnation, run)
+            && progress.may_run_on(name, incarnation, run)
         {
             // Not stored before the next change of the job: until then only this leader and the host know it.
             progress.checkpoint = Some(checkpoint);
--- a/crates/core/src/jobs/scheduler/crashes.rs
+++ b/crates/core/src/jobs/scheduler/crashes.rs
@@ -59,6 +59,19 @@
         incarnation: u64,
         suspects: &[(TaskRef, u32)],
         now: Moment,
+    ) -> Vec<CountedCrash> {
+        self.host_restarted(name, incarnation, suspects, &[], now)
+    }
+
+    /// Handles a crash as [`Self::host_crashed`] does, after which the next incarnation runs or may run what
+    /// `taken_over` lists. The tasks of these runs stay assigned until the next incarnation has reported its runs.
+    pub fn host_restarted(
+        &mut self,
+        name: &HostName,
+        incarnation: u64,
+        suspects: &[(TaskRef, u32)],
+        taken_over: &[(TaskRef, u32)],
+        now: Moment,
     ) -> Vec<CountedCrash> {
         let Some(host) = self.hosts.get(name) else { return Vec::new() };
         let incarnation = match incarnation {
@@ -72,10 +85,12 @@
             let conclusive = nth + 1 == suspects.len();
             if let Some(crash) = self.count_crash(name, incarnation, task, *run, conclusive) {
                 counted.push(crash);
-                self.run_gone(name, task, RunOutcome::Interrupted, None, now);
+                if !taken_over.contains(&(*task, *run)) {
+                    self.run_gone(name, task, RunOutcome::Interrupted, None, now);
+                }
             }
         }
-        self.end_runs(name, incarnation, now);
+        self.end_runs(name, |task, run, on| on > incarnation || taken_over.contains(&(*task, run)), now);
         // Runs of these jobs on other hosts are stopped; those on this host have ended above.
         for crash in counted.iter().filter(|crash| crash.given_up) {
             if self.jobs.get(&crash.task.job).is_some_and(|job| job.progress.phase == Phase::Active) {
@@ -121,22 +136,41 @@
         if host.link != Link::Connected {
             host.link = Link::Lost;
         }
-        self.end_runs(name, u64::MAX, now);
+        self.end_runs(name, |_, _, _| false, now);
     }
 
-    /// Treats the runs on an incarnation of a host's endpoint and on earlier ones as interrupted.
-    fn end_runs(&mut self, name: &HostName, up_to_incarnation: u64, now: Moment) {
+    /// Treats the runs on a host as interrupted, except those that survive by task, number and incarnation.
+    pub(super) fn end_runs(&mut self, name: &HostName, survives: impl Fn(&TaskRef, u32, u64) -> bool, now: Moment) {
         let Some(host) = self.hosts.get(name) else { return };
-        let survives = |task: &TaskRef| {
-            let state = self.jobs.get(&task.job).and_then(|job| job.progress.task(task)).map(|task| &task.state);
-            matches!(state, Some(TaskState::Assigned { incarnation, .. }) if *incarnation > up_to_incarnation)
+        let is_lost = |task: &TaskRef| {
+            let progress = self.jobs.get(&task.job).and_then(|job| job.progress.task(task));
+            progress.is_none_or(|progress| match &progress.state {
+                TaskState::Assigned { incarnation, .. } => !survives(task, progress.run, *incarnation),
+                _ => true,
+            })
         };
-        let ended: Vec<_> = host.tasks.keys().copied().filter(|task| !survives(task)).collect();
+        let ended: Vec<_> = host.tasks.keys().copied().filter(is_lost).collect();
         for task in ended {
             self.run_gone(name, &task, RunOutcome::Interrupted, None, now);
         }
     }
 
+    /// Assigns the runs that an incarnation of a host lists to this incarnation, if they are assigned to another one of the
+    /// host: starting their tasks again would run them twice.
+    pub(super) fn take_over_runs(&mut self, name: &HostName, on_incarnation: u64, listed: &[(TaskRef, u32)]) {
+        for (task, run) in listed {
+            let Some(job) = self.jobs.get_mut(&task.job) else { continue };
+            let Some(progress) = job.progress.task_mut(task).filter(|progress| progress.run == *run) else { continue };
+            if let TaskState::Assigned { host, incarnation } = &mut progress.state
+                && host == name
+                && *incarnation != on_incarnation
+            {
+                *incarnation = on_incarnation;
+                self.changed.insert(task.job);
+            }
+        }
+    }
+
     /// Whether a further trial may begin on a host of a service. Linear in the number of hosts.
     pub(super) fn may_begin_trial(&self, service: &str, now: TimeMs) -> bool {
         let (mut hosts, mut trials) = (0, 0);
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -69,6 +69,8 @@
     stopping: bool,
     /// Whether the endpoint may know of the run.
     sent: bool,
+    /// When a start was last sent that may have no answer: the endpoint may still carry it out, or its next incarnation.
+    unanswered_at: Option<TimeMs>,
     /// When the endpoint answered the start; None before.
     started_at: Option<TimeMs>,
     /// The share of its full speed that was last set for the run, in percent.
@@ -112,6 +114,10 @@
     crashes: Vec<Crash>,
     /// Whether the endpoint has crashed or its lease has expired without an answer, so that nothing runs on it.
     endpoint_lost: bool,
+    /// The incarnation whose end the leader hears of with the first report of the current one, which tells what it runs.
+    restarted_from: Option<u64>,
+    /// Starts that an earlier incarnation left without an answer. They are stopped on the current one after its first report.
+    unanswered_starts: Vec<UnansweredStart>,
     /// Whether the endpoint may have another incarnation than [`Self::incarnation`]. The next report tells.
     incarnation_doubted: bool,
     /// When the call was sent that the latest report answered; 0 before the first report of an incarnation.
@@ -143,7 +149,7 @@
 mod stops;
 
 use crash::Crash;
-use restarts::CallInFlight;
+use restarts::{CallInFlight, UnansweredStart};
 
 /// The agent of one endpoint.
 pub struct Agent {
@@ -188,6 +194,8 @@
             departing: false,
             crashes: Vec::new(),
             endpoint_lost: false,
+            restarted_from: None,
+            unanswered_starts: Vec::new(),
             incarnation_doubted: false,
             report_sent_at: TimeMs::default(),
             running: BTreeMap::new(),
@@ -424,6 +432,9 @@
             state.ends.insert(ended.number, ended.clone());
             state.send(ToLeader::Ended { incarnation, ended });
         }
+        if first {
+            self.stop_unanswered_starts(&mut state, incarnation, now);
+        }
         if first || recovered {
             state.send_snapshot();
         }
@@ -487,9 +498,9 @@
         }
     }
 
-    /// Sends what the endpoint has announced. A lost endpoint offers nothing before it answers a call.
+    /// Sends what the endpoint has announced. A lost or restarted endpoint offers nothing before it answers a call.
     fn send_info(&mut self) {
-        let info = self.info.clone().filter(|_| !self.endpoint_lost);
+        let info = self.info.clone().filter(|_| !self.endpoint_lost && self.restarted_from.is_none());
         self.send(ToLeader::Info(info));
     }
 
@@ -515,11 +526,17 @@
         for ended in self.ends.values().cloned().collect::<Vec<_>>() {
             self.send(ToLeader::Ended { incarnation, ended });
         }
-        let mut running: BTreeMap<_, _> = self.running.iter().map(|(&task, running)| (task, running.run)).collect();
-        // Orders that were never sent to the endpoint are left out: the leader decides anew whether to start them.
+        let running = self.listed_runs();
+        self.send(ToLeader::Runs { incarnation, running });
+    }
+
+    /// The runs that exist or may exist on the endpoint. Orders that were never sent to it are left out: the leader decides
+    /// anew whether to start them.
+    fn listed_runs(&self) -> Vec<(TaskRef, u32)> {
+        let mut listed: BTreeMap<_, _> = self.running.iter().map(|(&task, running)| (task, running.run)).collect();
         let sent = self.orders.iter().filter(|(_, order)| order.sent || order.stopping);
-        running.extend(sent.map(|(&task, order)| (task, order.run)));
-        self.send(ToLeader::Runs { incarnation, running: running.into_iter().collect() });
+        listed.extend(sent.map(|(&task, order)| (task, order.run)));
+        listed.into_iter().collect()
     }
 
     /// The deadline up to which the lease may be extended now, on the endpoint's clock, and records that the lease may
--- a/crates/fleet/src/agent/crash.rs
+++ b/crates/fleet/src/agent/crash.rs
@@ -69,7 +69,9 @@
         }
         state.endpoint_lost = true;
         state.info = None;
+        state.restarted_from = None;
         state.running.clear();
+        state.keep_unanswered_starts(now);
         state.orders.clear();
         // In this order, as the leader would otherwise place the runs on this host again.
         state.send(ToLeader::Info(None));
@@ -102,12 +104,14 @@
             && let Some(first_sign) = first_sign
         {
             self.record_crash(state, before, first_sign);
-            state.endpoint_lost = true;
+            // The leader hears of the loss with the first report of the new incarnation, which may run what was meant for
+            // the one before. Nothing is placed there before.
+            state.restarted_from = Some(before);
             state.send(ToLeader::Info(None));
-            state.send_losses();
         }
         state.incarnation = Some(incarnation);
         state.running.clear();
+        state.keep_unanswered_starts(self.clock.now());
         state.orders.clear();
         state.ends.clear();
         state.forget_up_to = 0;
@@ -154,23 +158,33 @@
         started.into_iter().map(|(_, task, run)| (task, run)).collect()
     }
 
-    /// Reports the crashes that the session was not told of, and that nothing runs on the endpoint while it is lost.
+    /// Reports the crashes that the session was not told of, and that nothing runs on the endpoint while it is lost. After a
+    /// restart the reports wait for the first list of runs.
     pub(super) fn send_losses(&mut self) {
-        let lost = self.endpoint_lost.then(|| self.incarnation.unwrap_or(UNKNOWN_INCARNATION));
+        let is_listed = self.report_sent_at != TimeMs::default();
+        if !self.endpoint_lost && !is_listed {
+            return;
+        }
+        let lost = match self.endpoint_lost {
+            true => Some(self.incarnation.unwrap_or(UNKNOWN_INCARNATION)),
+            false => self.restarted_from.take(),
+        };
+        let taken_over = if self.endpoint_lost { Vec::new() } else { self.listed_runs() };
         let is_open = self.session.as_ref().is_some_and(|session| !UnboundedSender::is_closed(session));
         let mut crashes = std::mem::take(&mut self.crashes);
         for crash in &mut crashes {
             if !crash.told {
-                self.send(ToLeader::Gone { incarnation: crash.incarnation, suspects: crash.suspects.clone() });
+                let (incarnation, suspects) = (crash.incarnation, crash.suspects.clone());
+                self.send(ToLeader::Gone { incarnation, suspects, taken_over: taken_over.clone() });
             }
             crash.told = is_open;
         }
         if let Some(incarnation) = lost
             && crashes.iter().all(|crash| crash.incarnation != incarnation)
         {
-            self.send(ToLeader::Gone { incarnation, suspects: Vec::new() });
+            self.send(ToLeader::Gone { incarnation, suspects: Vec::new(), taken_over });
         }
-        if lost.is_none() {
+        if !self.endpoint_lost {
             crashes.retain(|crash| !crash.told);
         }
         self.crashes = crashes;
--- a/crates/fleet/src/agent/starts.rs
+++ b/crates/fleet/src/agent/starts.rs
@@ -68,6 +68,7 @@
             image: start.image.clone(),
             stopping: false,
             sent: is_running,
+            unanswered_at: None,
             started_at: None,
             paced_percent: 100,
             validity,
@@ -100,7 +101,12 @@
                 }
                 NextAttempt::Settled => return,
             };
-            match self.call("start", ANSWER_TIMEOUT_MS, self.endpoint.start(incarnation, token, &order)).await {
+            let answer = self.call("start", ANSWER_TIMEOUT_MS, self.endpoint.start(incarnation, token, &order)).await;
+            unanswered |= matches!(answer, Err(EndpointError::Unknown(_)));
+            if !unanswered {
+                self.state.borrow_mut().record_answer(task, run);
+            }
+            match answer {
                 Ok(StartAnswer::Started) => {
                     return self.state.borrow_mut().record_start(incarnation, task, run, self.clock.now());
                 }
@@ -121,7 +127,6 @@
                 }
                 Err(error @ EndpointError::Unknown(_)) => {
                     log::warn!("start unanswered: task={task} run={run} host={} error={error}", self.name);
-                    unanswered = true;
                     sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
                 }
             }
@@ -192,6 +197,7 @@
         }
         if let Some(order) = self.orders.get_mut(&task) {
             order.sent = true;
+            order.unanswered_at = Some(now);
         }
         NextAttempt::Send { token: self.token, deadline_ms }
     }
--- a/crates/fleet/src/agent/stops.rs
+++ b/crates/fleet/src/agent/stops.rs
@@ -8,16 +8,13 @@
 };
 use tokio::{task::spawn_local, time::sleep};
 
-use super::{ANSWER_TIMEOUT_MS, Agent, Order, RETRY_INTERVAL_MS};
+use super::{ANSWER_TIMEOUT_MS, Agent, Order, RETRY_INTERVAL_MS, Validity};
 use crate::message::ToLeader;
 
-impl Agent {
-    /// Handles an order of the leader to stop a run, or to prevent it from starting.
-    pub(super) fn handle_stop(self: &Rc<Self>, task: TaskRef, run: u32) {
-        let mut state = self.state.borrow_mut();
-        let Some(incarnation) = state.incarnation else { return };
-        let validity = state.order_validity(self.clock.now());
-        let order = state.orders.entry(task).or_insert(Order {
+impl Order {
+    /// The order of a run whose description is not known.
+    pub(super) fn unknown(run: u32, validity: Validity) -> Self {
+        Self {
             run,
             resources: Resources::ZERO,
             background: false,
@@ -25,10 +22,21 @@
             image: None,
             stopping: false,
             sent: false,
+            unanswered_at: None,
             started_at: None,
             paced_percent: 100,
             validity,
-        });
+        }
+    }
+}
+
+impl Agent {
+    /// Handles an order of the leader to stop a run, or to prevent it from starting.
+    pub(super) fn handle_stop(self: &Rc<Self>, task: TaskRef, run: u32) {
+        let mut state = self.state.borrow_mut();
+        let Some(incarnation) = state.incarnation else { return };
+        let validity = state.order_validity(self.clock.now());
+        let order = state.orders.entry(task).or_insert(Order::unknown(run, validity));
         if order.run != run || std::mem::replace(&mut order.stopping, true) {
             return;
         }
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -415,9 +415,13 @@
             ToLeader::Paces(paces) => self.scheduler.host_throttling_changed(host, &paces, now),
             ToLeader::Changes(changes) => self.scheduler.learn_interference(&changes, now),
             ToLeader::Remembered(table) => self.scheduler.restore_pairs(&table, now),
-            ToLeader::Gone { incarnation, suspects } => {
-                log::warn!("host lost its runs: host={host} incarnation={incarnation} suspects={}", suspects.len());
-                for crash in self.scheduler.host_crashed(host, incarnation, &suspects, now) {
+            ToLeader::Gone { incarnation, suspects, taken_over } => {
+                log::warn!(
+                    "host lost its runs: host={host} incarnation={incarnation} suspects={} taken_over={}",
+                    suspects.len(),
+                    taken_over.len()
+                );
+                for crash in self.scheduler.host_restarted(host, incarnation, &suspects, &taken_over, now) {
                     self.report_crash(host, &crash);
                 }
             }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -157,6 +157,10 @@
             /// starts. Empty if it did not crash. Earlier versions neither send nor read this field.
             #[serde(deserialize_with = "fescuelead_core::trailing::or_default")]
             suspects: Vec<(TaskRef, u32)>,
+            /// The runs that exist or may exist on the next incarnation, which has restarted at once; their tasks are not started
+            /// elsewhere. Earlier versions neither send nor read this field.
+            #[serde(deserialize_with = "fescuelead_core::trailing::or_default")]
+            taken_over: Vec<(TaskRef, u32)>,
         },
     }
 }
--- a/crates/fleet/tests/agent.rs
+++ b/crates/fleet/tests/agent.rs
@@ -210,7 +210,9 @@
         let mut leader = Leader::connect(&agent, 1).await;
         leader.receive_for(1_000).await;
         endpoint.silent.set(true);
-        let gone = |received: &[ToLeader]| received.contains(&ToLeader::Gone { incarnation: 1, suspects: Vec::new() });
+        let gone = |received: &[ToLeader]| {
+            received.contains(&ToLeader::Gone { incarnation: 1, suspects: Vec::new(), taken_over: Vec::new() })
+        };
         let early = leader.receive_for(GRANT_MS - 1_000).await;
         assert!(!gone(&early), "{early:?}");
         let late = leader.receive_for(GRANT_MS).await;
@@ -236,7 +238,10 @@
         first.receive_for(2 * GRANT_MS).await;
         let mut second = Leader::connect(&agent, 2).await;
         let received = second.receive_for(600).await;
-        assert!(received.contains(&ToLeader::Gone { incarnation: 1, suspects: Vec::new() }), "{received:?}");
+        assert!(
+            received.contains(&ToLeader::Gone { incarnation: 1, suspects: Vec::new(), taken_over: Vec::new() }),
+            "{received:?}"
+        );
     })
     .await;
 }
@@ -250,7 +255,7 @@
         endpoint.silent.set(true);
         let agent = start_agent_without_announcement(&endpoint).await;
         let mut leader = Leader::connect(&agent, 1).await;
-        let gone = ToLeader::Gone { incarnation: UNKNOWN_INCARNATION, suspects: Vec::new() };
+        let gone = ToLeader::Gone { incarnation: UNKNOWN_INCARNATION, suspects: Vec::new(), taken_over: Vec::new() };
         let early = leader.receive_for(GRANT_MS - 1_000).await;
         assert!(!early.contains(&gone), "an earlier agent may have extended the lease: {early:?}");
         let late = leader.receive_for(GRANT_MS).await;
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -18,7 +18,7 @@
 const AWAY_MS: u64 = 3_000;
 
 fn gone(suspects: &[(TaskRef, u32)]) -> ToLeader {
-    ToLeader::Gone { incarnation: 1, suspects: suspects.to_vec() }
+    ToLeader::Gone { incarnation: 1, suspects: suspects.to_vec(), taken_over: Vec::new() }
 }
 
 /// The messages that say which runs exist, in the order in which they were received.
--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -11,11 +11,14 @@
 };
 use support::{
     MemoryEndpoint,
-    session::{GRANT_MS, Leader, TASK, run_local, start_agent},
+    session::{GRANT_MS, Leader, TASK, info, run_local, start_agent},
 };
 
 /// How long the agent needs to notice a restart, in milliseconds.
 const NOTICED_MS: u64 = 600;
+/// How long the agent needs to stop a run and to see in a report that it is gone, in milliseconds: the report call in flight
+/// and the one after it each wait for 1 s.
+const STOPPED_MS: u64 = 2_500;
 
 /// Starts an agent with an endpoint, and opens a session in which it gets a lease.
 async fn open_session() -> (MemoryEndpoint, Rc<Agent>, Leader) {
@@ -117,3 +120,96 @@
     })
     .await;
 }
+
+/// Guards against running a task twice: the leader takes all runs of the earlier incarnation for lost and starts their tasks
+/// elsewhere, beside those that the next incarnation runs.
+#[tokio::test(start_paused = true)]
+async fn the_loss_of_an_incarnation_names_what_the_next_one_runs() {
+    run_local(async {
+        let (endpoint, _agent, mut leader) = open_session().await;
+        leader.start(1).await;
+        leader.receive_for(NOTICED_MS).await;
+        restart(&endpoint);
+        endpoint.run(TASK, 1);
+        let received = leader.receive_for(NOTICED_MS).await;
+        let lost = ToLeader::Gone { incarnation: 1, suspects: Vec::new(), taken_over: vec![(TASK, 1)] };
+        let runs = ToLeader::Runs { incarnation: 2, running: vec![(TASK, 1)] };
+        let expected = [ToLeader::Info(None), lost, ToLeader::Info(Some(info())), runs];
+        let about_the_host: Vec<_> = received
+            .into_iter()
+            .filter(|message| matches!(message, ToLeader::Info(_) | ToLeader::Gone { .. } | ToLeader::Runs { .. }))
+            .collect();
+        assert_eq!(about_the_host, expected);
+    })
+    .await;
+}
+
+/// Guards against a start after a run has ended as done: the leader hears of the end only after it has started the task of
+/// the lost run elsewhere.
+#[tokio::test(start_paused = true)]
+async fn an_end_on_the_next_incarnation_is_told_before_the_loss() {
+    run_local(async {
+        let (endpoint, _agent, mut leader) = open_session().await;
+        leader.start(1).await;
+        leader.receive_for(NOTICED_MS).await;
+        restart(&endpoint);
+        endpoint.run(TASK, 1);
+        endpoint.end(TASK, RunOutcome::Done);
+        let received = leader.receive_for(NOTICED_MS).await;
+        let position = |is_it: fn(&ToLeader) -> bool| received.iter().position(is_it);
+        let ended = position(|message| matches!(message, ToLeader::Ended { incarnation: 2, .. }));
+        let gone = position(|message| matches!(message, ToLeader::Gone { .. }));
+        assert!(ended.is_some() && gone.is_some() && ended < gone, "{received:?}");
+    })
+    .await;
+}
+
+/// Guards against running a task twice: a start without an answer is carried out by the next incarnation seconds later, after
+/// the task was started elsewhere.
+#[tokio::test(start_paused = true)]
+async fn an_unanswered_start_is_stopped_on_the_next_incarnation_before_its_task_is_given_back() {
+    run_local(async {
+        let (endpoint, _agent, mut leader) = open_session().await;
+        endpoint.lose_starts.set(1);
+        leader.start(1).await;
+        leader.receive_for(10).await;
+        restart(&endpoint);
+        let received = leader.receive_for(STOPPED_MS).await;
+        let lost = ToLeader::Gone { incarnation: 1, suspects: Vec::new(), taken_over: vec![(TASK, 1)] };
+        let runs = ToLeader::Runs { incarnation: 2, running: vec![(TASK, 1)] };
+        assert!(received.contains(&lost) && received.contains(&runs), "{received:?}");
+        assert!(endpoint.stopped.borrow().contains(&(TASK, 1)));
+        let given_back = |message: &ToLeader| matches!(message, ToLeader::Rejected { incarnation: 2, task: TASK, .. });
+        assert!(received.iter().any(given_back), "{received:?}");
+    })
+    .await;
+}
+
+/// Guards against running a task twice: a leader that connects before the first report of the next incarnation takes all runs
+/// for lost.
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_connects_after_a_restart_waits_for_the_runs() {
+    run_local(async {
+        let (endpoint, agent, mut leader) = open_session().await;
+        leader.start(1).await;
+        leader.receive_for(NOTICED_MS).await;
+        endpoint.crash();
+        // The refused report call is the first sign of the crash.
+        leader.receive_for(60).await;
+        endpoint.down.set(false);
+        endpoint.silent.set(true);
+        endpoint.run(TASK, 1);
+        agent.handle_announcement(Some(2), info());
+        let mut second = Leader::connect(&agent, 2).await;
+        let received = second.receive_for(200).await;
+        let is_premature = |message: &ToLeader| {
+            matches!(message, ToLeader::Info(Some(_)) | ToLeader::Gone { .. } | ToLeader::Runs { .. })
+        };
+        assert!(!received.iter().any(is_premature), "{received:?}");
+        endpoint.silent.set(false);
+        let received = second.receive_for(2 * NOTICED_MS).await;
+        let lost = ToLeader::Gone { incarnation: 1, suspects: Vec::new(), taken_over: vec![(TASK, 1)] };
+        assert!(received.contains(&lost), "{received:?}");
+    })
+    .await;
+}
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -229,6 +229,13 @@
 }
 
 impl MemoryEndpoint {
+    /// Starts a run without an order, as a call to an earlier incarnation may that is carried out late.
+    pub fn run(&self, task: TaskRef, run: u32) {
+        let mut state = self.state.borrow_mut();
+        state.runs.insert(task, run);
+        state.highest_run.insert(task, run);
+    }
+
     /// Ends the run of a task, if there is one.
     pub fn end(&self, task: TaskRef, end: RunOutcome) {
         let mut state = self.state.borrow_mut();
--- a/crates/fleet/tests/versions.rs
+++ b/crates/fleet/tests/versions.rs
@@ -34,11 +34,14 @@
 /// Guards against a leader that loses the session with every agent of an earlier version as soon as an endpoint is lost.
 #[tokio::test]
 async fn a_lost_endpoint_of_an_earlier_agent_is_understood() {
-    let gone = ToLeader::Gone { incarnation: 5, suspects: Vec::new() };
+    let gone = ToLeader::Gone { incarnation: 5, suspects: Vec::new(), taken_over: Vec::new() };
     let mut frame = message::encode(std::slice::from_ref(&gone)).expect("a frame");
-    assert_eq!(frame.pop(), Some(0), "the length of the list is the last byte");
-    frame[3] -= 1;
-    assert_eq!(message::read::<ToLeader>(&mut frame.as_slice()).await.expect("a message"), gone);
+    // Earlier versions did not send the runs that are taken over, and those before them no suspects.
+    for _ in 0..2 {
+        assert_eq!(frame.pop(), Some(0), "the length of the list is the last byte");
+        frame[3] -= 1;
+        assert_eq!(message::read::<ToLeader>(&mut frame.as_slice()).await.expect("a message"), gone);
+    }
 }
 
 /// Guards against an agent that loses the session with a leader of an earlier version as soon as it is ordered to start a
