Log hosts that are lost, ends that are ignored and pages that are dropped

The scheduler returns whether an end counts and which hosts a tick has given up, and the leader logs both.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -312,6 +312,7 @@
     fn apply(&self, stream: Stream, from: Option<u64>, page: Page, read_at: TimeMs) -> bool {
         let mut state = self.state.borrow_mut();
         if state.next.get(&stream).copied() != from {
+            log::info!("page dropped because newer records were read meanwhile: stream={stream:?} from={from:?}");
             return false;
         }
         if stream == Stream::Progress && !page.records.is_empty() {
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -128,7 +128,9 @@
             log::warn!("leadership lost to a later leader: entry={} epoch={}", leadership.name, leadership.epoch.get());
             break;
         }
-        leader.scheduler.tick(entry.config.clock.moment());
+        for host in leader.scheduler.tick(entry.config.clock.moment()) {
+            log::warn!("host lost because its lease has ended: host={host}");
+        }
         leader.send_pair_tables();
         leader.set_gauges();
         if leader.pending_batch.is_none() {
@@ -412,7 +414,13 @@
                     RunOutcome::Interrupted => "interrupted",
                 };
                 self.entry.config.metrics.runs_ended.get_or_create(&OutcomeLabel { outcome }).inc();
-                self.scheduler.run_ended(host, incarnation, &ended, now);
+                if !self.scheduler.run_ended(host, incarnation, &ended, now) {
+                    log::warn!(
+                        "end ignored because the run is not the latest one of its task: task={} run={} host={host} incarnation={incarnation}",
+                        ended.task,
+                        ended.run
+                    );
+                }
             }
             ToLeader::Rejected { incarnation, task, run, reason } => {
                 log::info!("run rejected: task={task} run={run} host={host} reason={reason:?}");
