Count a success that arrives while its task waits

A leader that connected after an endpoint had restarted was told of the loss of the earlier incarnation before the end of a run that the next one had carried out. It gave the task back, ignored and acknowledged the end, and started the task again. Any other path that gives a task back just before its end arrives had the same effect.

An agent tells each new session of ends before losses. An end as done of the latest run counts also if its task waits: no run has a higher number, so the task has succeeded. A failure does not, because the next session may report it again.

--- a/crates/core/src/jobs/scheduler/runs.rs
+++ b/crates/core/src/jobs/scheduler/runs.rs
@@ -12,8 +12,7 @@
     /// its task is ignored; a run that is assigned to an earlier incarnation of the host has ended on this one. Returns whether
     /// the end counts.
     pub fn run_ended(&mut self, name: &HostName, incarnation: u64, ended: &RunEnd, now: Moment) -> bool {
-        let progress = self.jobs.get(&ended.task.job).and_then(|job| job.progress.task(&ended.task));
-        let counts = progress.is_some_and(|progress| progress.may_run_on(name, incarnation, ended.run));
+        let counts = self.end_counts(name, incarnation, ended);
         if counts {
             self.record_begun(&ended.task.job);
             if ended.end != RunOutcome::Interrupted
@@ -27,6 +26,20 @@
         counts
     }
 
+    /// Whether the end of a run changes its task: the run is the assigned one, or it has succeeded after its task was given
+    /// back and before that was assigned again. Starting the task once more would run it twice.
+    fn end_counts(&self, name: &HostName, incarnation: u64, ended: &RunEnd) -> bool {
+        let Some(job) = self.jobs.get(&ended.task.job) else { return false };
+        let Some(progress) = job.progress.task(&ended.task) else { return false };
+        if progress.may_run_on(name, incarnation, ended.run) {
+            return true;
+        }
+        let ends_for_good = job.spec.steps.get(ended.task.step as usize).is_some_and(|step| !step.long_running);
+        let is_latest = progress.state == TaskState::Waiting && progress.run == ended.run;
+        let is_active = job.progress.phase == Phase::Active;
+        is_latest && is_active && ends_for_good && ended.end == RunOutcome::Done
+    }
+
     /// Handles a host's rejection of a run. A run that is not the assigned one is ignored.
     pub fn run_rejected(
         &mut self,
--- a/crates/core/tests/restarts.rs
+++ b/crates/core/tests/restarts.rs
@@ -169,3 +169,27 @@
     assert_eq!(counted.iter().map(|crash| (crash.task, crash.crashes)).collect::<Vec<_>>(), [(TASK, 1)]);
     assert_only_the_lost_run_starts_again(&tick(&mut scheduler));
 }
+
+/// Guards against a start after a run has ended as done: the end arrives after its task was given back and before that was
+/// assigned again, and was ignored and acknowledged.
+#[test]
+fn an_end_as_done_counts_while_its_task_waits() {
+    let (mut scheduler, _) = scheduler_with_assigned_runs();
+    scheduler.host_crashed(&host("a"), BEFORE, &[], at(100));
+    let ended = RunEnd { number: 1, task: TASK, run: 1, end: RunOutcome::Done, checkpoint: None };
+    assert!(scheduler.run_ended(&host("a"), BEFORE, &ended, at(100)));
+    scheduler.tick(at(200));
+    let starts = scheduler.take_batch().effects;
+    let starts_again = |effect: &Effect| matches!(effect, Effect::Start { task, .. } if *task == TASK);
+    assert!(!starts.iter().any(starts_again), "{starts:?}");
+    assert!(!scheduler.run_ended(&host("a"), BEFORE, &ended, at(300)), "the end is known already");
+}
+
+/// Guards against a job that fails because one failure is reported in two sessions and counted twice.
+#[test]
+fn an_end_as_failed_does_not_count_while_its_task_waits() {
+    let (mut scheduler, _) = scheduler_with_assigned_runs();
+    scheduler.host_crashed(&host("a"), BEFORE, &[], at(100));
+    let ended = RunEnd { number: 1, task: TASK, run: 1, end: RunOutcome::Failed, checkpoint: None };
+    assert!(!scheduler.run_ended(&host("a"), BEFORE, &ended, at(100)));
+}
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -530,12 +530,12 @@
     fn send_snapshot(&mut self) {
         self.repeat_started_jobs();
         let listed = self.incarnation.filter(|_| !self.endpoint_lost && self.report_sent_at != TimeMs::default());
-        self.send_losses();
         if let Some(incarnation) = listed {
             for ended in self.ends.values().cloned().collect::<Vec<_>>() {
                 self.send(ToLeader::Ended { incarnation, ended });
             }
         }
+        self.send_losses();
         self.send_info();
         self.send(ToLeader::Headroom(self.pacer.headroom().clone()));
         self.send(ToLeader::Paces(self.pacer.paces().clone()));
--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use fescuelead_core::jobs::{RunOutcome, TaskRef};
 use fescuelead_fleet::{
@@ -14,6 +14,7 @@
     MAX_LISTED_ENDS, MemoryEndpoint,
     session::{GRANT_MS, Leader, TASK, info, run_local, start_agent},
 };
+use tokio::time::sleep;
 
 /// How long the agent needs to notice a restart, in milliseconds.
 const NOTICED_MS: u64 = 600;
@@ -214,6 +215,30 @@
     .await;
 }
 
+/// Guards against a start after a run has ended as done: a leader that connects after the first report of the next incarnation
+/// hears of the loss of the one before first, and starts the task again.
+#[tokio::test(start_paused = true)]
+async fn a_later_leader_is_told_of_an_end_on_the_next_incarnation_before_the_loss() {
+    run_local(async {
+        let (endpoint, agent, mut leader) = open_session().await;
+        leader.start(1).await;
+        leader.receive_for(50).await;
+        drop(leader);
+        sleep(Duration::from_millis(20)).await;
+        restart(&endpoint);
+        endpoint.begin(TASK, 1);
+        endpoint.end(TASK, RunOutcome::Done);
+        sleep(Duration::from_millis(1_500)).await;
+        let mut second = Leader::connect(&agent, 2).await;
+        let received = second.receive_for(NOTICED_MS).await;
+        let position = |is_it: fn(&ToLeader) -> bool| received.iter().position(is_it);
+        let ended = position(|message| matches!(message, ToLeader::Ended { incarnation: 2, .. }));
+        let gone = position(|message| matches!(message, ToLeader::Gone { incarnation: 1, .. }));
+        assert!(ended.is_some() && gone.is_some() && ended < gone, "{received:?}");
+    })
+    .await;
+}
+
 /// Guards against running a task twice: a leader that connects before the first report of the next incarnation takes all runs
 /// for lost.
 #[tokio::test(start_paused = true)]
