--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,7 @@
 
 import asyncio
 
-from standins import BOUNDS, CannotRun, Proxy, job_id, main
+from standins import CannotRun, Proxy, job_id, main
 
 CUT_S = 1.5
 TASK_S = 8.0
