Stop what still runs when an endpoint deregisters

Callers saw LOST: long-running tasks without a run for over 6 s although hosts were free, on deployments whose endpoints accept leases of 10 s. The leader then counts a whole grant from the end of the session.

The agent now stops what runs when the endpoint deregisters, and the deregistration is answered once the ends are listed, after 950 ms at the latest. It does the same when it is told to stop while its endpoint is leaving, and waits up to 400 ms more until the leader has stored the ends. What is not listed by then falls back to the proofs of before; a refused connection still proves nothing. Stops go through the ordinary path, which settles a start without an answer.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -144,6 +144,7 @@
 mod starts;
 mod stops;
 
+use departure::DEPARTURE_REPORT_INTERVAL_MS;
 use incarnation::IncarnationState;
 use restarts::CallInFlight;
 
@@ -244,18 +245,18 @@
         }
     }
 
-    /// Runs the agent until `stop` is cancelled, then waits for calls in flight, and for the proof that its endpoint has ended if
-    /// that one is leaving. Serves leaders that connect to `listener`.
+    /// Runs the agent until `stop` is cancelled. If its endpoint is leaving, then stops the runs and waits for the proof that they
+    /// have ended. Waits for calls in flight at last. Serves leaders that connect to `listener`.
     pub async fn run(self: Rc<Self>, listener: TcpListener, stop: CancellationToken) {
         let reports = spawn_local(self.clone().renew_lease());
         let sessions = spawn_local(self.clone().serve(listener));
         stop.cancelled().await;
         self.state.borrow_mut().shutting_down = true;
+        self.wait_for_planned_end().await;
         let deadline = self.clock.now().plus_ms(STOP_TIMEOUT_MS);
         while self.state.borrow().calls_in_flight > 0 && self.clock.now() < deadline {
             sleep(Duration::from_millis(10)).await;
         }
-        self.wait_for_planned_end().await;
         reports.abort();
         sessions.abort();
     }
@@ -372,10 +373,13 @@
                 Ok(Some(report)) => {
                     self.apply_report(report, token, sent_at, first_sign);
                     self.state.borrow_mut().confirm_lease(renewal);
-                    let unstored = !self.state.borrow().current.ends.is_empty();
+                    let (unstored, is_ending_runs) = {
+                        let state = self.state.borrow();
+                        (!state.current.ends.is_empty(), state.is_ending_runs())
+                    };
                     if unstored {
-                        let waited =
-                            timeout(Duration::from_millis(UNSTORED_WAIT_MS), self.report_wakeup.notified()).await;
+                        let wait_ms = if is_ending_runs { DEPARTURE_REPORT_INTERVAL_MS } else { UNSTORED_WAIT_MS };
+                        let waited = timeout(Duration::from_millis(wait_ms), self.report_wakeup.notified()).await;
                         // The endpoint is called again after a timeout as well.
                         drop(waited);
                     }
@@ -439,6 +443,9 @@
             state.send_info();
         }
         self.pace(&mut state, now);
+        drop(state);
+        // A start that has taken effect late, or a run of which this process has not known.
+        self.stop_remaining_runs();
     }
 
     /// Raises the fencing token unless it was raised since the endpoint refused `refused`.
--- a/crates/fleet/src/agent/departure.rs
+++ b/crates/fleet/src/agent/departure.rs
@@ -2,14 +2,18 @@
 The planned end of the endpoint.
 
 An endpoint drains, deregisters, and ends once that is acknowledged, and its runs end with it. Nothing shows when: one that the
-acknowledgement has not reached runs on for seconds, and if it refuses connections meanwhile it looks like one that has ended. So
-only the end of the lease proves it. The lease is extended in short steps while the endpoint drains, and an agent that stops as
-planned waits for its end, since its leader would otherwise count a whole grant from the end of the session on.
+acknowledgement has not reached runs on for seconds, and if it refuses connections meanwhile it looks like one that has ended. A
+lease that was granted before the endpoint began to drain outlives the drain, so that its end is a late proof.
+
+The agent therefore stops what still runs when the endpoint deregisters, without the leader, and the deregistration is
+acknowledged once the ends are listed. It does the same when it is itself told to stop while its endpoint is leaving. What was not
+listed in time still needs the proofs for any loss. The lease is extended in short steps while the endpoint drains, and an agent
+that stops waits for its end, since its leader would otherwise count a whole grant from the end of the session on.
 */
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
-use fescuelead_core::units::TimeMs;
+use fescuelead_core::{jobs::TaskRef, units::TimeMs};
 use tokio::time::sleep;
 
 use super::{Agent, State};
@@ -17,16 +21,24 @@
 /// How far the lease of a draining endpoint is extended at a time, in milliseconds: long enough for one report call that is not
 /// answered, and another one.
 const DRAINING_LEASE_MS: u64 = 2_000;
-/// How long an agent that stops waits for the end of the lease at most, in milliseconds. Less than the grace period of a process.
+/// How long the acknowledgement of a deregistration waits for the ends of runs at most, in milliseconds. The endpoint expects it within
+/// a second, and a stop takes up to 900 ms.
+const DEPARTURE_TIMEOUT_MS: u64 = 950;
+/// The pause between reports while runs end because the endpoint is leaving, in milliseconds. A report lists the first of several
+/// ends at once, so that the next one has to be asked for.
+pub(super) const DEPARTURE_REPORT_INTERVAL_MS: u64 = 40;
+/// How long an agent that stops waits until the leader has stored the ends of the runs that it has stopped, in milliseconds.
+const STORED_ENDS_TIMEOUT_MS: u64 = 400;
+/// How long an agent that stops waits for the end of the runs or of the lease at most, in milliseconds. Less than the grace period of a process.
 const LEASE_END_TIMEOUT_MS: u64 = 4_000;
-/// How often an agent that stops checks whether the lease has ended, in milliseconds.
-const LEASE_POLL_INTERVAL_MS: u64 = 20;
+/// How often the agent checks whether the runs or the lease of a leaving endpoint have ended, in milliseconds.
+const POLL_INTERVAL_MS: u64 = 20;
 
 impl Agent {
-    /// Handles the announcement of an incarnation of the endpoint that it ends. No run starts on it from now on, and what runs on it
-    /// is no suspect. A late announcement of another incarnation has no effect, nor one that does not state the incarnation, unless
-    /// the present one drains.
-    pub fn handle_departure(&self, incarnation: Option<u64>) {
+    /// Handles the announcement of an incarnation of the endpoint that it ends. No run starts on it from now on, what still runs is
+    /// stopped, and what runs on it is no suspect. A late announcement of another incarnation has no effect, nor one that does not
+    /// state the incarnation, unless the present one drains.
+    pub fn handle_departure(self: &Rc<Self>, incarnation: Option<u64>) {
         let mut state = self.state.borrow_mut();
         let is_of_present = match incarnation {
             Some(departing) => state.incarnation.is_none_or(|present| present == departing),
@@ -39,13 +51,69 @@
         }
         state.current.departing = true;
         state.send_info();
+        drop(state);
+        self.stop_remaining_runs();
+    }
+
+    /// Waits until the endpoint has listed the ends of all its runs after [`Self::handle_departure`], but less than a second.
+    /// Returns at once if the departure had no effect. The endpoint may end once this has returned.
+    pub async fn wait_for_listed_ends(&self) {
+        let began_at = self.clock.now();
+        let deadline = began_at.plus_ms(DEPARTURE_TIMEOUT_MS);
+        while self.state.borrow().awaits_listed_ends() && self.clock.now() < deadline {
+            sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
+        }
+        let state = self.state.borrow();
+        if !state.current.departing {
+            return;
+        }
+        let took_ms = self.clock.now().since_ms(began_at);
+        if state.awaits_listed_ends() {
+            self.metrics.departures_with_runs.inc();
+            let unlisted = state.listed_runs().len();
+            log::warn!("departure: runs not listed as ended: host={} runs={unlisted} waited_ms={took_ms}", self.name);
+        } else {
+            log::info!("departure: nothing runs any more: host={} waited_ms={took_ms}", self.name);
+        }
+    }
+
+    /// Stops the runs of an endpoint that ends, each once, if it has deregistered or the agent stops. The stops are repeated until
+    /// they are answered, and a start without an answer is settled by its stop.
+    pub(super) fn stop_remaining_runs(self: &Rc<Self>) {
+        let (runs, cause) = {
+            let state = self.state.borrow();
+            if !state.ends_runs() {
+                return;
+            }
+            let is_stopping = |task: &TaskRef| state.current.orders.get(task).is_some_and(|order| order.stopping);
+            let runs = state.listed_runs().into_iter().filter(|(task, _)| !is_stopping(task)).collect::<Vec<_>>();
+            (runs, if state.current.departing { "deregistered" } else { "agent_stops" })
+        };
+        if runs.is_empty() {
+            return;
+        }
+        log::info!("departure: stopping runs: host={} runs={} cause={cause}", self.name, runs.len());
+        self.metrics.departure_stops.inc_by(runs.len() as u64);
+        for (task, run) in runs {
+            self.handle_stop(task, run);
+        }
+        self.report_wakeup.notify_one();
     }
 
-    /// Waits until the leader was told that the runs of an endpoint have ended that has ended as it announced.
-    pub(super) async fn wait_for_planned_end(&self) {
+    /// Ends the runs of an endpoint that is leaving when the agent is told to stop, and waits until the leader was told that they
+    /// have ended: by their ends, or by that of the lease. Returns at once if the endpoint is not leaving or runs nothing.
+    pub(super) async fn wait_for_planned_end(self: &Rc<Self>) {
+        self.stop_remaining_runs();
+        if !self.state.borrow().awaits_planned_end() {
+            return;
+        }
         let deadline = self.clock.now().plus_ms(LEASE_END_TIMEOUT_MS);
         while self.state.borrow().awaits_planned_end() && self.clock.now() < deadline {
-            sleep(Duration::from_millis(LEASE_POLL_INTERVAL_MS)).await;
+            sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
+        }
+        let deadline = deadline.min(self.clock.now().plus_ms(STORED_ENDS_TIMEOUT_MS));
+        while self.state.borrow().has_unstored_ends() && self.clock.now() < deadline {
+            sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
         }
     }
 }
@@ -61,10 +129,30 @@
         self.current.departing || self.is_draining()
     }
 
-    /// Whether the endpoint may have ended as it announced, and the leader has not been told that its runs have ended.
+    /// Whether the agent ends what runs on the endpoint: it has deregistered, or is leaving while the agent stops.
+    pub(super) fn ends_runs(&self) -> bool {
+        !self.endpoint_lost && (self.current.departing || self.shutting_down && self.is_leaving())
+    }
+
+    /// Whether an endpoint whose runs are being ended may still list further ends.
+    pub(super) fn is_ending_runs(&self) -> bool {
+        self.ends_runs() && !self.listed_runs().is_empty()
+    }
+
+    /// Whether runs may exist on an endpoint that has deregistered, because it has not listed their ends.
+    fn awaits_listed_ends(&self) -> bool {
+        let has_reported = self.current.report_sent_at != TimeMs::default();
+        self.current.departing && !self.endpoint_lost && !(has_reported && self.listed_runs().is_empty())
+    }
+
+    /// Whether runs may exist on a leaving endpoint of which the leader has not been told that they have ended.
     fn awaits_planned_end(&self) -> bool {
-        let may_have_ended = self.is_leaving() && self.is_refusing() && !self.endpoint_lost;
-        may_have_ended && !self.listed_runs().is_empty()
+        self.is_leaving() && !self.endpoint_lost && !self.listed_runs().is_empty()
+    }
+
+    /// Whether the leader of the open session has yet to confirm that it has stored ends of runs.
+    fn has_unstored_ends(&self) -> bool {
+        self.session.as_ref().is_some_and(|session| !session.is_closed()) && !self.current.ends.is_empty()
     }
 
     /// When a lease that is extended at `now` may end at the latest.
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -137,6 +137,8 @@
     pub paced_images: Gauge,
     pub sessions: Counter,
     pub incomplete_reports: Counter,
+    pub departure_stops: Counter,
+    pub departures_with_runs: Counter,
 }
 
 impl AgentMetrics {
@@ -156,6 +158,16 @@
             "Reports of the endpoint that may omit ended runs",
             self.incomplete_reports.clone(),
         );
+        r.register(
+            "departure_stops",
+            "Runs that the agent stopped because its endpoint is leaving",
+            self.departure_stops.clone(),
+        );
+        r.register(
+            "departures_with_runs",
+            "Deregistrations acknowledged before all runs were listed as ended",
+            self.departures_with_runs.clone(),
+        );
         encode(&r)
     }
 }
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -220,6 +220,10 @@
     pub lose_starts: Rc<Cell<u32>>,
     /// Whether runs go on after they were ordered to stop.
     pub slow_stops: Rc<Cell<bool>>,
+    /// How long runs go on after they were ordered to stop, in milliseconds.
+    pub stop_ms: Rc<Cell<u64>>,
+    /// The number of next stops that take effect but whose answer is lost.
+    pub lose_stops: Rc<Cell<u32>>,
     /// The number of next starts that are rejected as unhealthy.
     pub refuse_starts: Rc<Cell<u32>>,
     /// The number of next starts that have no effect because they name another incarnation.
@@ -419,9 +423,21 @@
             *highest_run = run.max(*highest_run);
             state.runs.get(&task) == Some(&run)
         };
-        if is_running && !self.slow_stops.get() {
+        if is_running && self.stop_ms.get() > 0 {
+            let (endpoint, delay) = (self.clone(), Duration::from_millis(self.stop_ms.get()));
+            tokio::task::spawn_local(async move {
+                sleep(delay).await;
+                if endpoint.is_running(task, run) {
+                    endpoint.end(task, RunOutcome::Interrupted);
+                }
+            });
+        } else if is_running && !self.slow_stops.get() {
             self.end(task, RunOutcome::Interrupted);
         }
+        if self.lose_stops.get() > 0 {
+            self.lose_stops.set(self.lose_stops.get() - 1);
+            return Err(EndpointError::Unknown("the answer was lost".to_owned()));
+        }
         Ok(true)
     }
 
--- a/crates/fleet/tests/support/session.rs
+++ b/crates/fleet/tests/support/session.rs
@@ -32,6 +32,8 @@
     writer: WriteHalf<DuplexStream>,
     /// Whether requests for grants are granted.
     pub grants: bool,
+    /// How long granted leases last, in milliseconds.
+    pub grant_ms: u64,
     /// What the latest request for a grant suspects.
     pub suspicion: Option<Suspicion>,
 }
@@ -42,7 +44,8 @@
         let (leader_end, agent_end) = tokio::io::duplex(1 << 20);
         spawn_local(agent.clone().session(agent_end));
         let (reader, writer) = tokio::io::split(leader_end);
-        let mut leader = Self { reader: BufReader::new(reader), writer, grants: true, suspicion: None };
+        let mut leader =
+            Self { reader: BufReader::new(reader), writer, grants: true, grant_ms: GRANT_MS, suspicion: None };
         leader.send(ToAgent::Hello { epoch, leader: "leader".to_owned() }).await;
         leader
     }
@@ -75,7 +78,7 @@
             match message {
                 ToLeader::Ask { asked_ms, suspicion, .. } => {
                     self.suspicion = suspicion;
-                    let grant_ms = if self.grants { GRANT_MS } else { 0 };
+                    let grant_ms = if self.grants { self.grant_ms } else { 0 };
                     self.send(ToAgent::Grant { asked_ms, grant_ms }).await;
                 }
                 message => received.push(message),
@@ -132,11 +135,24 @@
 ///
 /// If no port can be bound.
 pub async fn start_agent_until(endpoint: &MemoryEndpoint, stop: CancellationToken) -> Rc<Agent> {
+    start_agent_with_lease(endpoint, 6_000, stop).await
+}
+
+/// Starts such an agent, whose endpoint accepts leases of up to `max_lease_ms` milliseconds.
+///
+/// # Panics
+///
+/// If no port can be bound.
+pub async fn start_agent_with_lease(
+    endpoint: &MemoryEndpoint,
+    max_lease_ms: u64,
+    stop: CancellationToken,
+) -> Rc<Agent> {
     let clock = Clock::Runtime { start: Instant::now(), unix_ms: 1_700_000_000_000 };
     let agent = Agent::new(
         "host-a".to_owned(),
         Box::new(endpoint.clone()),
-        LeasePlan::new(6_000),
+        LeasePlan::new(max_lease_ms),
         clock,
         AgentMetrics::default(),
     );
