Bound what clients can make a process hold

Cause: bodies were collected frame by frame (chunks of 64 bytes cost eleven times their bytes) with a limit per request and none in total, and nothing bounded connections, headers that never end, or responses that are not read. The client of the store and of the executor read responses of any size, and kept read buffers of up to 400 KB for each idle connection.

No timer or task is added for a request. Running requests are limited, because each may take a descriptor for the store. Responses are read into one buffer with a limit. New counters and settings.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -479,6 +479,11 @@
         state.views.completed(Stream::Progress, sent_at);
     }
 
+    /// The number of hosts that have announced themselves. A leader has a connection to each.
+    pub fn host_count(&self) -> usize {
+        self.state.borrow().hosts.len()
+    }
+
     pub(crate) fn hosts(&self) -> BTreeMap<HostName, SocketAddr> {
         self.state.borrow().hosts.clone()
     }
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -35,6 +35,42 @@
     pub outcome: &'static str,
 }
 
+/// The label of what a server refused or closed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// Why, such as `body-budget`.
+    pub reason: &'static str,
+}
+
+/// What the servers of a process hold, close and refuse. Clones share their values.
+#[derive(Debug, Clone, Default)]
+#[allow(missing_docs, reason = "the help texts describe each metric")]
+pub struct ServerMetrics {
+    pub connections: Gauge,
+    pub body_bytes: Gauge,
+    closed: Family<ReasonLabel, Counter>,
+    refused: Family<ReasonLabel, Counter>,
+}
+
+impl ServerMetrics {
+    /// Counts a connection that was closed or not accepted.
+    pub fn count_closed(&self, reason: &'static str) {
+        self.closed.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Counts a request that was refused.
+    pub fn count_refused(&self, reason: &'static str) {
+        self.refused.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    fn register(&self, r: &mut Registry) {
+        r.register("server_connections", "Open connections of clients", self.connections.clone());
+        r.register("server_body_bytes", "Bytes charged for the bodies of requests", self.body_bytes.clone());
+        r.register("server_connections_closed", "Connections closed by the limits of the server", self.closed.clone());
+        r.register("server_requests_refused", "Requests refused by the limits of the server", self.refused.clone());
+    }
+}
+
 /// A counter and a latency histogram of calls, by kind and outcome.
 #[derive(Debug, Clone)]
 pub struct Calls {
@@ -88,6 +124,7 @@
     pub config_version: Gauge,
     pub records_skipped: Counter,
     pub early_cancellations: Gauge,
+    pub server: ServerMetrics,
 }
 
 impl EntryMetrics {
@@ -124,6 +161,7 @@
             self.early_cancellations.clone(),
         );
         r.register("records_skipped", "Records of the store that could not be used", self.records_skipped.clone());
+        self.server.register(&mut r);
         encode(&r)
     }
 }
@@ -137,6 +175,7 @@
     pub paced_images: Gauge,
     pub sessions: Counter,
     pub incomplete_reports: Counter,
+    pub server: ServerMetrics,
 }
 
 impl AgentMetrics {
@@ -156,6 +195,7 @@
             "Reports of the endpoint that may omit ended runs",
             self.incomplete_reports.clone(),
         );
+        self.server.register(&mut r);
         encode(&r)
     }
 }
