Bound connections of an agent's port that have not said hello

Cause: the port for leaders took any number of connections, each for 2.2 s, and reserved the stated length of a frame of up to 1 MiB before its sender had said hello: 300 connections added 153,584 KiB. Two more faults were found by watching descriptors during the floods: a burst of accepts closed idle connections later than it opened new ones, and a connection whose response was taken late counted as busy for ever.

Change: at most 64 connections, the oldest without a hello gives way; a hello has at most 4,096 bytes. The accept loop lets closed connections end.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -22,13 +22,13 @@
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    net::TcpListener,
     sync::{Notify, mpsc},
     task::spawn_local,
     time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
+use self::listener::LeaderListener;
 use crate::{
     clock::Clock,
     endpoint::{Endpoint, EndpointError, Report},
@@ -138,6 +138,7 @@
 mod departure;
 mod evidence;
 mod incarnation;
+pub mod listener;
 mod pacing;
 mod restarts;
 mod room;
@@ -246,9 +247,9 @@
 
     /// Runs the agent until `stop` is cancelled, then waits for calls in flight, and for the proof that its endpoint has ended if
     /// that one is leaving. Serves leaders that connect to `listener`.
-    pub async fn run(self: Rc<Self>, listener: TcpListener, stop: CancellationToken) {
+    pub async fn run(self: Rc<Self>, listener: impl Into<LeaderListener>, stop: CancellationToken) {
         let reports = spawn_local(self.clone().renew_lease());
-        let sessions = spawn_local(self.clone().serve(listener));
+        let sessions = spawn_local(listener.into().serve(self.clone()));
         stop.cancelled().await;
         self.state.borrow_mut().shutting_down = true;
         let deadline = self.clock.now().plus_ms(STOP_TIMEOUT_MS);
@@ -260,26 +261,9 @@
         sessions.abort();
     }
 
-    async fn serve(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    if let Err(e) = stream.set_nodelay(true) {
-                        log::debug!("cannot set TCP_NODELAY: error={e}");
-                    }
-                    spawn_local(self.clone().session(stream));
-                }
-                Err(e) => {
-                    log::warn!("cannot accept a connection: host={} error={e}", self.name);
-                    sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
-                }
-            }
-        }
-    }
-
     /// Serves the leader at the other end of a connection, until the connection or the session ends.
     pub async fn session(self: Rc<Self>, stream: impl AsyncRead + AsyncWrite + 'static) {
-        session::accept(self, stream).await;
+        session::accept(self, stream, || ()).await;
     }
 
     /// Opens the session of a leader and returns the messages to send to it. They end when another session is opened.
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -210,9 +210,21 @@
 ///
 /// Fails if the connection fails, the frame exceeds 1 MiB, or the bytes are not a message of this version.
 pub async fn read<M: DeserializeOwned>(reader: &mut (impl AsyncRead + Unpin)) -> io::Result<M> {
+    read_within(reader, MAX_FRAME_BYTES).await
+}
+
+/// Reads one frame of at most `max_bytes` and decodes its message.
+///
+/// # Errors
+///
+/// Fails like [`read`], but for frames that exceed `max_bytes`.
+pub async fn read_within<M: DeserializeOwned>(
+    reader: &mut (impl AsyncRead + Unpin),
+    max_bytes: usize,
+) -> io::Result<M> {
     let length = reader.read_u32().await? as usize;
-    if length > MAX_FRAME_BYTES {
-        return Err(io::Error::other(format!("a frame of {length} bytes exceeds {MAX_FRAME_BYTES}")));
+    if length > max_bytes {
+        return Err(io::Error::other(format!("a frame of {length} bytes exceeds {max_bytes}")));
     }
     let mut frame = vec![0; length];
     reader.read_exact(&mut frame).await?;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -175,6 +175,7 @@
     pub paced_images: Gauge,
     pub sessions: Counter,
     pub incomplete_reports: Counter,
+    pub leader_connections_closed: Counter,
     pub server: ServerMetrics,
 }
 
@@ -195,6 +196,11 @@
             "Reports of the endpoint that may omit ended runs",
             self.incomplete_reports.clone(),
         );
+        r.register(
+            "leader_connections_closed",
+            "Connections for which the port for leaders had no room",
+            self.leader_connections_closed.clone(),
+        );
         self.server.register(&mut r);
         encode(&r)
     }
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -40,15 +40,22 @@
 /// session has lasted longer than [`SESSION_TIMEOUT_MS`].
 const MAX_RECONNECT_BACKOFF_MS: u64 = 1_000;
 
-/// Serves a leader that has connected to the agent, until the session or the connection ends.
-pub(crate) async fn accept(agent: Rc<Agent>, stream: impl AsyncRead + AsyncWrite + 'static) {
+/// The largest hello message, in bytes. It holds a number and the name of an entry; whoever has not said hello may not make the
+/// agent reserve memory for more.
+const MAX_HELLO_BYTES: usize = 4_096;
+
+/// Serves a leader that has connected to the agent, until the session or the connection ends. Calls `on_hello` once the
+/// other end has shown that it speaks the protocol.
+pub(crate) async fn accept(agent: Rc<Agent>, stream: impl AsyncRead + AsyncWrite + 'static, on_hello: impl FnOnce()) {
     let (read_half, mut write_half) = tokio::io::split(stream);
     let mut reader = BufReader::new(read_half);
-    let hello = timeout(Duration::from_millis(SESSION_TIMEOUT_MS), message::read::<ToAgent>(&mut reader)).await;
-    let Ok(Ok(ToAgent::Hello { epoch, leader })) = hello else {
-        log::warn!("connection closed because no hello message was received");
+    let hello = message::read_within::<ToAgent>(&mut reader, MAX_HELLO_BYTES);
+    let Ok(Ok(ToAgent::Hello { epoch, leader })) = timeout(Duration::from_millis(SESSION_TIMEOUT_MS), hello).await
+    else {
+        log::debug!("connection closed because no hello message was received");
         return;
     };
+    on_hello();
     let mut outgoing = match agent.open_session(epoch, &leader) {
         Ok(outgoing) => outgoing,
         Err(epoch) => {
