Move work away from endpoints that end as planned

Cause: work that outlives a planned departure is ended with its endpoint. It should be moved while the endpoint still answers.

HostInfo has the trailing field remaining_ms, which the agent reads from the heartbeat, keeps as a deadline, and passes on as what is left. The leader moves long-running tasks at once, and checkpointing tasks that are expected to outlive the endpoint, if another host can take them now. Holds of a step count against a host, so that its moves are spread. While an agent ends the runs of its endpoint, its report calls no longer wait for an end, and leave their connection to stops.

Effect::Move states its reason.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -34,8 +34,8 @@
     progress::{JobProgress, Phase, TaskState},
     replica::{JobStatus, Replica},
     scheduler::{
-        Batch, CountedCrash, Effect, Moment, Rejection, RunEnd, RunOutcome, SUSPECT_AGE_MS, Scheduler, StartCheck,
-        Suspicion, TRIAL_MS,
+        Batch, CountedCrash, Effect, Moment, MoveReason, Rejection, RunEnd, RunOutcome, SUSPECT_AGE_MS, Scheduler,
+        StartCheck, Suspicion, TRIAL_MS,
     },
     spec::{JobId, JobSpec, QueueSettings, StepSpec, TaskRef},
 };
--- a/crates/core/src/jobs/hosts.rs
+++ b/crates/core/src/jobs/hosts.rs
@@ -49,6 +49,10 @@
         pub capacity: Resources,
         /// Whether the endpoint is shutting down and accepts no new runs.
         pub draining: bool,
+        /// The minimum time that a draining endpoint has left, in milliseconds from the sending of this message on; `None` if
+        /// it has not stated it, and from agents of earlier versions. The receiver keeps a deadline.
+        #[serde(deserialize_with = "crate::trailing::or_default")]
+        pub remaining_ms: Option<u64>,
     }
 }
 
@@ -62,6 +66,30 @@
     pub image: Option<ClassId>,
     /// Whether the run was asked to stop so that the task can resume on another host.
     pub moving: bool,
+    /// When this leader has assigned the run; `None` if an earlier one has.
+    pub assigned_at: Option<TimeMs>,
+}
+
+/// Room that a host holds for a task whose run on another host was asked to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Hold {
+    /// The number of the run that was asked to stop.
+    pub run: u32,
+    /// The resources that count as committed: without the processors of a background task.
+    resources: Resources,
+    /// When the hold ends although the run has not.
+    pub until: TimeMs,
+}
+
+impl Hold {
+    /// Holds the room that a task of `step` needs.
+    pub fn new(run: u32, step: &StepSpec, until: TimeMs) -> Self {
+        let mut resources = step.resources;
+        if step.background {
+            resources.cpu_milli = 0;
+        }
+        Self { run, resources, until }
+    }
 }
 
 /// The state of a host's connection to the leader.
@@ -87,6 +115,10 @@
     /// Whether the runs that the host reported in this session were compared with those assigned to it.
     pub reconciled: bool,
     pub tasks: BTreeMap<TaskRef, PlacedRun>,
+    /// Until when the endpoint, which ends as planned, continues at least; `None` if it has not stated it.
+    pub ends_at: Option<TimeMs>,
+    /// The tasks that the host holds room for. Disjoint from [`Self::tasks`].
+    held: BTreeMap<TaskRef, Hold>,
     used: Resources,
     background_cpu_milli: u32,
     /// The processors requested by background tasks, by image, in thousandths of a core.
@@ -122,6 +154,8 @@
             info: None,
             reconciled: false,
             tasks: BTreeMap::new(),
+            ends_at: None,
+            held: BTreeMap::new(),
             used: Resources::ZERO,
             background_cpu_milli: 0,
             background_images: BTreeMap::new(),
@@ -158,8 +192,15 @@
             self.serving_cpu_milli += step.resources.cpu_milli;
         }
         self.used = self.used.plus(&resources);
-        let placed =
-            PlacedRun { run, resources: step.resources, background: step.background, serves, image, moving: false };
+        let placed = PlacedRun {
+            run,
+            resources: step.resources,
+            background: step.background,
+            serves,
+            image,
+            moving: false,
+            assigned_at: None,
+        };
         if let Some(earlier) = self.tasks.insert(task, placed) {
             self.release(&earlier);
         }
@@ -201,6 +242,39 @@
         self.used = self.used.minus(&resources);
     }
 
+    /// Holds room for a task that is stopped on another host.
+    pub fn hold(&mut self, task: TaskRef, hold: Hold) {
+        self.held.insert(task, hold);
+    }
+
+    /// Ends the hold for a task, if there is one.
+    pub fn release_hold(&mut self, task: &TaskRef) {
+        self.held.remove(task);
+    }
+
+    /// Whether the host holds room for any task.
+    pub fn has_holds(&self) -> bool {
+        !self.held.is_empty()
+    }
+
+    /// The tasks that the host holds room for.
+    pub fn holds(&self) -> impl Iterator<Item = (&TaskRef, &Hold)> {
+        self.held.iter()
+    }
+
+    /// The number of holds for other tasks in the same step and occurrence as `task`, and for all others.
+    pub fn count_holds(&self, task: &TaskRef) -> (usize, usize) {
+        let same_step = self.held.range(task.starting_together(true)).filter(|(held, _)| *held != task).count();
+        let own = usize::from(self.held.contains_key(task));
+        (same_step, self.held.len() - same_step - own)
+    }
+
+    /// The resources held for other tasks than `task`.
+    fn held_for_others(&self, task: &TaskRef) -> Resources {
+        let others = self.held.iter().filter(|(held, _)| *held != task);
+        others.fold(Resources::ZERO, |sum, (_, hold)| sum.plus(&hold.resources))
+    }
+
     /// Records whether a run failed, and avoids the host after several failures.
     pub fn record_end(&mut self, failed: bool, now: TimeMs) {
         let mask = (1 << END_HISTORY_LEN) - 1;
@@ -276,14 +350,15 @@
         if step.label.as_ref().is_some_and(|label| !info.labels.contains(label)) {
             return false;
         }
-        if step.per_host.is_some_and(|limit| self.count_step_tasks(task) >= limit as usize) {
+        let of_step = || self.count_step_tasks(task) + self.count_holds(task).0;
+        if step.per_host.is_some_and(|limit| of_step() >= limit as usize) {
             return false;
         }
         let mut needed = step.resources;
         if step.background {
             needed.cpu_milli = 0;
         }
-        needed.fits_in(&info.capacity.minus(&self.used))
+        needed.fits_in(&info.capacity.minus(&self.used.plus(&self.held_for_others(task))))
     }
 
     /// The processors expected to be free for further background tasks, in thousandths of a core.
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::units::TimeMs;
 
 mod crashes;
+mod departures;
 mod images;
 mod moving;
 mod order;
@@ -35,6 +36,7 @@
 
 pub(super) use crashes::QUIET_MS;
 pub use crashes::{CountedCrash, SUSPECT_AGE_MS, TRIAL_MS};
+use departures::DepartingWork;
 use order::{MeanWork, ReadyKey, StepRef, Urgency};
 pub use sessions::StartCheck;
 pub use suspicions::Suspicion;
@@ -87,6 +89,15 @@
         Malformed,
     }
 
+    /// Why a task is moved to another host.
+    #[derive(Copy)]
+    pub enum MoveReason {
+        /// Its host slows its image to protect serving tasks.
+        Throttled,
+        /// The endpoint of its host ends as planned, before the task would.
+        Departure,
+    }
+
     /// A command to a host, which may be sent only after the records of its [`Batch`] are stored.
     pub enum Effect {
         /// Start a run, or send its description again if it exists already.
@@ -115,7 +126,7 @@
             /// The number of the run; each run of a task has a higher number than the one before.
             run: u32,
         },
-        /// Stop a throttled run so that the task resumes on another host.
+        /// Stop a run so that the task resumes on another host.
         Move {
             /// The host that executes the run.
             host: HostName,
@@ -123,6 +134,8 @@
             task: TaskRef,
             /// The number of the run; each run of a task has a higher number than the one before.
             run: u32,
+            /// Why the task is moved.
+            reason: MoveReason,
         },
         /// Acknowledge reports of ends of runs, which the host may then discard.
         Forget {
@@ -187,6 +200,8 @@
     interference: ImageInterference,
     send_pairs_at: TimeMs,
     move_at: TimeMs,
+    /// When hosts are next searched for tasks on hosts whose endpoints end as planned.
+    search_targets_at: TimeMs,
     mean_work: MeanWork,
     /// Since when tasks on trial have had turns without a host; the first member stands for its gang.
     trial_waits: BTreeMap<TaskRef, TimeMs>,
@@ -223,6 +238,7 @@
             interference: ImageInterference::new(),
             send_pairs_at: now.at,
             move_at: now.at,
+            search_targets_at: now.at,
             mean_work: MeanWork::default(),
             trial_waits: BTreeMap::new(),
             suspicions: BTreeMap::new(),
@@ -376,8 +392,8 @@
         proven
     }
 
-    /// Interrupts the runs of hosts whose leases have expired, makes due occurrences ready, places waiting tasks and
-    /// moves throttled ones. Returns the hosts that count as lost from now on.
+    /// Interrupts the runs of hosts whose leases have expired, makes due occurrences ready, places waiting tasks, and moves
+    /// tasks whose endpoints end as planned, and throttled ones. Returns the hosts that count as lost from now on.
     pub fn tick(&mut self, now: Moment) -> Vec<HostName> {
         let lost: Vec<_> = self
             .hosts
@@ -393,7 +409,10 @@
         self.store_due_starts(now);
         self.end_trials(now.at);
         self.check_reservations(now.at);
+        self.place_moved(now);
+        self.move_departing(DepartingWork::LongRunning, now.at);
         self.place(now);
+        self.move_departing(DepartingWork::Checkpointing, now.at);
         self.move_throttled(now.at);
         lost
     }
--- a/crates/core/src/jobs/scheduler/moving.rs
+++ b/crates/core/src/jobs/scheduler/moving.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{Effect, Scheduler, placing::Requirements};
+use super::{Effect, MoveReason, Scheduler, placing::Requirements};
 use crate::units::TimeMs;
 
 /// An image that runs at a smaller share of its full speed than this counts as throttled, in percent.
@@ -55,7 +55,7 @@
             if let Some(placed) = self.hosts.get_mut(&from).and_then(|host| host.tasks.get_mut(&task)) {
                 placed.moving = true;
                 targets.insert(target);
-                self.effects.push(Effect::Move { host: from, task, run });
+                self.effects.push(Effect::Move { host: from, task, run, reason: MoveReason::Throttled });
             }
         }
     }
--- a/crates/core/src/jobs/scheduler/placing.rs
+++ b/crates/core/src/jobs/scheduler/placing.rs
@@ -261,7 +261,7 @@
     }
 
     /// The host with its score, or `None` if it cannot run the task.
-    fn candidate(
+    pub(super) fn candidate(
         &self,
         name: &HostName,
         task: &TaskRef,
@@ -417,6 +417,9 @@
         let Some(progress) = job.progress.task_mut(task) else { return };
         let image = step.image.as_deref().map(|image| self.interference.image_id(image));
         host.add(*task, run, step, image);
+        if let Some(placed) = host.tasks.get_mut(task) {
+            placed.assigned_at = Some(now);
+        }
         progress.run = run;
         job.assigned += 1;
         job.idle_since = None;
--- a/crates/core/tests/capacity_changes.rs
+++ b/crates/core/tests/capacity_changes.rs
@@ -27,6 +27,7 @@
         labels: BTreeSet::new(),
         capacity,
         draining: false,
+        ..HostInfo::default()
     }
 }
 
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -88,6 +88,7 @@
         labels: BTreeSet::new(),
         capacity: Resources::new(64_000, 100_000),
         draining: false,
+        ..HostInfo::default()
     }
 }
 
--- a/crates/core/tests/jobs.rs
+++ b/crates/core/tests/jobs.rs
@@ -50,6 +50,7 @@
         labels: BTreeSet::from(["a".to_owned(), format!("rack-{zone}")]),
         capacity: Resources::new(4_000, 10_000),
         draining: false,
+        ..HostInfo::default()
     }
 }
 
--- a/crates/core/tests/jobs_explorer.rs
+++ b/crates/core/tests/jobs_explorer.rs
@@ -121,6 +121,7 @@
         labels: BTreeSet::new(),
         capacity: Resources::new(HOST_CPU_MILLI, 1_000),
         draining: false,
+        ..HostInfo::default()
     }
 }
 
@@ -481,7 +482,7 @@
                 host.runs.insert(task, (run, cpu));
                 self.starts += 1;
             }
-            Effect::Stop { host, task, run } | Effect::Move { host, task, run } => {
+            Effect::Stop { host, task, run } | Effect::Move { host, task, run, .. } => {
                 let host = &mut self.hosts[host_index(&host)];
                 let highest = host.highest_runs.entry(task).or_default();
                 *highest = run.max(*highest);
--- a/crates/core/tests/suspicions.rs
+++ b/crates/core/tests/suspicions.rs
@@ -32,6 +32,7 @@
         labels: BTreeSet::new(),
         capacity: Resources::new(4_000, 1_000),
         draining: false,
+        ..HostInfo::default()
     }
 }
 
--- a/crates/core/tests/trials.rs
+++ b/crates/core/tests/trials.rs
@@ -57,6 +57,7 @@
         labels: BTreeSet::from([format!("label-{host}")]),
         capacity: Resources::new(8_000, 10_000),
         draining: false,
+        ..HostInfo::default()
     }
 }
 
--- a/crates/core/tests/waiting_jobs.rs
+++ b/crates/core/tests/waiting_jobs.rs
@@ -50,6 +50,7 @@
             labels: BTreeSet::new(),
             capacity: Resources::new(4_000, 10_000),
             draining: false,
+            ..HostInfo::default()
         }),
     );
     scheduler.reconcile_host(&host, INCARNATION, &[], at(0));
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -94,6 +94,7 @@
 }
 
 struct State {
+    clock: Clock,
     token: u64,
     /// The present incarnation of the endpoint; `None` before its first report or announcement.
     incarnation: Option<u64>,
@@ -173,6 +174,7 @@
     ) -> Rc<Self> {
         let now = clock.now();
         let state = State {
+            clock,
             // Only one agent process runs per endpoint at a time, so the Unix time gives each process a higher token
             // than the one before. If the clock was set back, `raise_token` makes up for it.
             token: clock.unix_ms(),
@@ -214,7 +216,8 @@
     /// Handles an announcement of the endpoint. `incarnation` is `None` if the endpoint did not include it. An announcement
     /// of an earlier incarnation than the current one arrives late and has no effect; if the endpoint's clock was set
     /// back, its next report gives the incarnation.
-    pub fn handle_announcement(&self, incarnation: Option<u64>, info: HostInfo) {
+    pub fn handle_announcement(&self, incarnation: Option<u64>, mut info: HostInfo) {
+        let remaining_ms = info.remaining_ms.take();
         let mut state = self.state.borrow_mut();
         let is_awaited = state.endpoint_lost || state.is_refusing();
         if let Some(incarnation) = incarnation {
@@ -240,7 +243,11 @@
                 info.capacity.cpu_milli,
                 info.capacity.memory_mib
             );
+        }
+        let ends_at = remaining_ms.map(|ms| self.clock.now().plus_ms(ms));
+        if state.current.info.as_ref() != Some(&info) || state.current.ends_at != ends_at {
             state.current.info = Some(info);
+            state.current.ends_at = ends_at;
             state.send_info();
         }
     }
@@ -358,7 +365,7 @@
                 let timed_out = sent_at.since_ms(state.last_answer_at) > ENDPOINT_TIMEOUT_MS;
                 let wait_ms = match () {
                     () if timed_out || state.incarnation_uncertain || state.current.endpoint_clock.is_none() => 0,
-                    () if state.is_refusing() => 0,
+                    () if state.is_refusing() || state.is_ending_runs() => 0,
                     () if state.current.report_sent_at == TimeMs::default() || !state.current.ends.is_empty() => 0,
                     () if serving || state.is_leaving() => SERVING_REPORT_WAIT_MS,
                     () => REPORT_WAIT_MS,
@@ -377,7 +384,7 @@
                         let state = self.state.borrow();
                         (!state.current.ends.is_empty(), state.is_ending_runs())
                     };
-                    if unstored {
+                    if unstored || is_ending_runs {
                         let wait_ms = if is_ending_runs { DEPARTURE_REPORT_INTERVAL_MS } else { UNSTORED_WAIT_MS };
                         let waited = timeout(Duration::from_millis(wait_ms), self.report_wakeup.notified()).await;
                         // The endpoint is called again after a timeout as well.
@@ -510,7 +517,11 @@
     fn send_info(&mut self) {
         let is_away =
             self.endpoint_lost || self.is_refusing() || self.restarted_from.is_some() || self.current.departing;
-        let info = self.current.info.clone().filter(|_| !is_away);
+        let mut info = self.current.info.clone().filter(|_| !is_away);
+        if let Some(info) = &mut info {
+            let now = self.clock.now();
+            info.remaining_ms = self.current.ends_at.map(|ends_at| ends_at.since_ms(now));
+        }
         self.send(ToLeader::Info(info));
     }
 
--- a/crates/fleet/src/agent/departure.rs
+++ b/crates/fleet/src/agent/departure.rs
@@ -24,8 +24,8 @@
 /// How long the acknowledgement of a deregistration waits for the ends of runs at most, in milliseconds. The endpoint expects it within
 /// a second, and a stop takes up to 900 ms.
 const DEPARTURE_TIMEOUT_MS: u64 = 950;
-/// The pause between reports while runs end because the endpoint is leaving, in milliseconds. A report lists the first of several
-/// ends at once, so that the next one has to be asked for.
+/// The pause between reports while runs end because the endpoint is leaving, in milliseconds. These reports do not wait for an end:
+/// between them, a stop can use their connection if the endpoint accepts no new ones.
 pub(super) const DEPARTURE_REPORT_INTERVAL_MS: u64 = 40;
 /// How long an agent that stops waits until the leader has stored the ends of the runs that it has stopped, in milliseconds.
 const STORED_ENDS_TIMEOUT_MS: u64 = 400;
--- a/crates/fleet/src/agent/incarnation.rs
+++ b/crates/fleet/src/agent/incarnation.rs
@@ -14,8 +14,10 @@
 /// earlier one is taken for its own.
 #[derive(Debug, Default)]
 pub(super) struct IncarnationState {
-    /// What it has announced; `None` before its first announcement and after its loss.
+    /// What it has announced, without the time that it has left; `None` before its first announcement and after its loss.
     pub(super) info: Option<HostInfo>,
+    /// Until when it continues at least, as it has announced while it drains; `None` if it has not stated it.
+    pub(super) ends_at: Option<TimeMs>,
     /// Whether it has announced that it ends.
     pub(super) departing: bool,
     /// Up to when answered report calls have extended the lease, in milliseconds on the endpoint's clock.
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{Batch, CountedCrash, Effect, HostName, JobId, Phase, RunOutcome, Scheduler, StartCheck},
+    jobs::{Batch, CountedCrash, Effect, HostName, JobId, MoveReason, Phase, RunOutcome, Scheduler, StartCheck},
     units::TimeMs,
 };
 use tokio::{
@@ -400,7 +400,11 @@
             SessionEvent::Received(message) => message,
         };
         match message {
-            ToLeader::Info(info) => self.scheduler.host_info_changed(host, info),
+            ToLeader::Info(info) => {
+                let remaining_ms = info.as_ref().and_then(|info| info.remaining_ms);
+                self.scheduler.host_info_changed(host, info);
+                self.scheduler.host_departure_announced(host, remaining_ms.map(|ms| now.at.plus_ms(ms)));
+            }
             ToLeader::Runs { incarnation, running } => {
                 log::info!("host reported its runs: host={host} incarnation={incarnation} running={}", running.len());
                 for crash in self.scheduler.reconcile_host(host, incarnation, &running, now) {
@@ -469,6 +473,7 @@
         let metrics = &self.entry.config.metrics;
         metrics.waiting_steps.set(self.scheduler.waiting_steps() as i64);
         metrics.hosts_connected.set(self.scheduler.connected_hosts() as i64);
+        metrics.departing_hosts.set(self.scheduler.departing_hosts() as i64);
         metrics.unreported_runs.set(self.scheduler.unreported_runs() as i64);
     }
 
@@ -539,11 +544,20 @@
                     (host, ToAgent::Start(start))
                 }
                 Effect::Stop { host, task, run } => (host, ToAgent::Stop { task, run }),
-                Effect::Move { host, task, run } => {
-                    log::info!(
-                        "run stopped to move it from a host that slows its image: task={task} run={run} host={host}"
-                    );
-                    self.entry.config.metrics.tasks_moved.inc();
+                Effect::Move { host, task, run, reason } => {
+                    let metrics = &self.entry.config.metrics;
+                    match reason {
+                        MoveReason::Throttled => {
+                            log::info!(
+                                "run stopped to move it from a host that slows its image: task={task} run={run} host={host}"
+                            );
+                            metrics.tasks_moved.inc();
+                        }
+                        MoveReason::Departure => {
+                            log::info!("departure: run stopped to move it: task={task} run={run} host={host}");
+                            metrics.departure_moves.inc();
+                        }
+                    }
                     (host, ToAgent::Stop { task, run })
                 }
                 Effect::Forget { host, incarnation, up_to } => (host, ToAgent::Forget { incarnation, up_to }),
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -81,9 +81,11 @@
     pub runs_ordered: Counter,
     pub runs_ended: Family<OutcomeLabel, Counter>,
     pub tasks_moved: Counter,
+    pub departure_moves: Counter,
     pub tasks_given_up: Counter,
     pub waiting_steps: Gauge,
     pub hosts_connected: Gauge,
+    pub departing_hosts: Gauge,
     pub unreported_runs: Gauge,
     pub config_version: Gauge,
     pub records_skipped: Counter,
@@ -105,6 +107,12 @@
         r.register("runs_ordered", "Runs that this entry ordered as the leader", self.runs_ordered.clone());
         r.register("runs_ended", "Ends of runs that this entry was told of as the leader", self.runs_ended.clone());
         r.register("tasks_moved", "Slowed tasks that were stopped to go on elsewhere", self.tasks_moved.clone());
+        r.register(
+            "departure_moves",
+            "Tasks that were stopped to go on elsewhere because their endpoint ends as planned",
+            self.departure_moves.clone(),
+        );
+        r.register("departing_hosts", "Hosts with tasks whose endpoints end as planned", self.departing_hosts.clone());
         r.register(
             "tasks_given_up",
             "Tasks under which endpoints crash that were given up",
--- a/crates/fleet/tests/departures.rs
+++ b/crates/fleet/tests/departures.rs
@@ -346,3 +346,23 @@
     })
     .await;
 }
+
+/// Guards against a leader that counts the time that an endpoint has left from a later moment than the endpoint does, because an agent
+/// repeats it unchanged in a later session.
+#[tokio::test(start_paused = true)]
+async fn the_time_that_an_endpoint_has_left_is_passed_on_and_passes() {
+    run_local(async {
+        let mut site = Site::start().await;
+        let draining = |remaining_ms| HostInfo { draining: true, remaining_ms, ..info() };
+        site.agent.handle_announcement(Some(1), draining(Some(2_000)));
+        let received = site.leader.receive_for(500).await;
+        assert!(received.contains(&ToLeader::Info(Some(draining(Some(2_000))))), "{received:?}");
+        let mut leader = Leader::connect(&site.agent, 2).await;
+        let received = leader.receive_for(500).await;
+        assert!(received.contains(&ToLeader::Info(Some(draining(Some(1_500))))), "{received:?}");
+        site.agent.handle_announcement(Some(1), draining(Some(2_000)));
+        let received = leader.receive_for(500).await;
+        assert!(received.contains(&ToLeader::Info(Some(draining(Some(2_000))))), "{received:?}");
+    })
+    .await;
+}
--- a/crates/fleet/tests/versions.rs
+++ b/crates/fleet/tests/versions.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use fescuelead_core::jobs::{
-    JobId, JobProgress, JobSpec, Phase, QueueSettings, StepSpec, TaskRef, progress::TaskProgress,
+    HostInfo, JobId, JobProgress, JobSpec, Phase, QueueSettings, StepSpec, TaskRef, progress::TaskProgress,
 };
 use fescuelead_fleet::message::{self, Start, ToAgent, ToLeader};
 use serde::Deserialize;
@@ -44,6 +44,17 @@
     }
 }
 
+/// Guards against a leader that loses the session with every agent of an earlier version, and against an end that it makes up: they do
+/// not send the time that a draining endpoint has left.
+#[tokio::test]
+async fn the_description_of_an_earlier_agent_is_understood() {
+    let info = ToLeader::Info(Some(HostInfo { service: "desk".to_owned(), draining: true, ..HostInfo::default() }));
+    let mut frame = message::encode(std::slice::from_ref(&info)).expect("a frame");
+    assert_eq!(frame.pop(), Some(0), "that no time is stated is the last byte");
+    frame[3] -= 1;
+    assert_eq!(message::read::<ToLeader>(&mut frame.as_slice()).await.expect("a message"), info);
+}
+
 /// Guards against an agent that loses the session with a leader of an earlier version as soon as it is ordered to start a
 /// run.
 #[tokio::test]
