Expect the ends of runs from their progress and from what others took

Agents now report the progress of runs that have run for over 1 s with ToLeader::Ask (trailing field), at most once a second a run and only where it has changed. RunTimes keeps the latest run times by step, image and host in bounded samples, and answers when a run ends, how long a waiting task takes, whether a run is slow for its step and how fast a host is. Nothing decides by it yet.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -14,6 +14,7 @@
   an unreachable host.
 * [`image_interference`]: how much background tasks of one image raise the tail latency of serving tasks of another,
   learned from measurements.
+* [`run_times`]: what runs took, and when those under way are expected to end.
 * [`pace`]: how far background tasks are throttled to protect the serving tasks on their host.
 
 The leader sends no command before the record of the decision is stored. A new leader therefore knows every run that may
@@ -26,6 +27,7 @@
 pub mod pace;
 pub mod progress;
 pub mod replica;
+pub mod run_times;
 pub mod scheduler;
 pub mod spec;
 
@@ -33,6 +35,7 @@
     hosts::{HostInfo, HostName, UNKNOWN_INCARNATION},
     progress::{JobProgress, Phase, TaskState},
     replica::{JobStatus, Replica},
+    run_times::RunProgress,
     scheduler::{
         Batch, CountedCrash, Effect, Moment, Rejection, RunEnd, RunOutcome, SUSPECT_AGE_MS, Scheduler, StartCheck,
         Suspicion, TRIAL_MS,
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -18,11 +18,13 @@
     lease::LeasePlan,
     progress::{JobProgress, Phase, TaskState},
     replica::Replica,
+    run_times::RunTimes,
     spec::{JobId, JobSpec, QueueSettings, TaskRef},
 };
 use crate::units::TimeMs;
 
 mod crashes;
+mod expectations;
 mod images;
 mod moving;
 mod order;
@@ -188,6 +190,9 @@
     send_pairs_at: TimeMs,
     move_at: TimeMs,
     mean_work: MeanWork,
+    run_times: RunTimes,
+    /// When slow runs are next searched for.
+    slow_runs_at: TimeMs,
     /// Since when tasks on trial have had turns without a host; the first member stands for its gang.
     trial_waits: BTreeMap<TaskRef, TimeMs>,
     /// The suspicions of hosts whose endpoints refuse connections.
@@ -224,6 +229,8 @@
             send_pairs_at: now.at,
             move_at: now.at,
             mean_work: MeanWork::default(),
+            run_times: RunTimes::default(),
+            slow_runs_at: now.at,
             trial_waits: BTreeMap::new(),
             suspicions: BTreeMap::new(),
             suspected_tasks: BTreeSet::new(),
@@ -265,7 +272,8 @@
         }
         self.accepted += 1;
         self.mean_work.add(&spec);
-        let assigned = assigned_runs(id, &progress).len();
+        let runs = assigned_runs(id, &progress);
+        let assigned = runs.len();
         let job = Job {
             spec,
             progress,
@@ -276,6 +284,9 @@
             failed_on: BTreeMap::new(),
         };
         self.jobs.insert(id, job);
+        for (task, host, _, run) in &runs {
+            self.record_run(task, *run, host, true, now.at);
+        }
         self.refresh_job(id, now);
     }
 
@@ -334,7 +345,9 @@
             self.end_runs(name, |_, _, on| on == incarnation, now);
         }
         let Some(host) = self.hosts.get_mut(name) else { return proven };
-        host.incarnation = Some(incarnation);
+        if host.incarnation.replace(incarnation) != Some(incarnation) {
+            self.run_times.forget_host(name);
+        }
         host.reconciled = true;
         // A stop command of the previous session may have been lost.
         host.tasks.values_mut().for_each(|placed| placed.moving = false);
@@ -439,6 +452,7 @@
     fn end_job(&mut self, id: JobId, phase: Phase, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.progress.phase = phase;
+        self.run_times.forget_job(id);
         for (task, host, _, run) in assigned_runs(id, &job.progress) {
             self.effects.push(Effect::Stop { host, task, run });
         }
--- a/crates/core/src/jobs/scheduler/placing.rs
+++ b/crates/core/src/jobs/scheduler/placing.rs
@@ -423,6 +423,7 @@
         progress.state = TaskState::Assigned { host: name.clone(), incarnation };
         let checkpoint = progress.checkpoint.clone();
         host.record_assignment(on_trial, now);
+        self.record_run(task, run, &name, false, now);
         self.changed.insert(task.job);
         if on_trial {
             let holder = holder(task, step);
--- a/crates/core/src/jobs/scheduler/runs.rs
+++ b/crates/core/src/jobs/scheduler/runs.rs
@@ -98,6 +98,7 @@
         if let Some(host) = self.hosts.get_mut(name) {
             host.remove(task);
         }
+        self.record_run_time(task, end == RunOutcome::Done, now.at);
         self.host_changed(name);
         let max_failures = self.max_failures(&task.job);
         if let Some(checkpoint) = checkpoint {
@@ -130,6 +131,9 @@
             self.gang_done(task, run, &state);
         }
         let job = &self.jobs[&task.job];
+        if state == TaskState::Done && job.progress.step_done(task.occurrence, task.step) {
+            self.run_times.forget_step(task);
+        }
         if job.progress.phase == Phase::Active {
             if failed {
                 self.end_job(task.job, Phase::Failed, now);
@@ -149,9 +153,11 @@
         for (index, progress) in tasks.iter_mut().enumerate().filter(|(_, progress)| progress.run == run) {
             if let TaskState::Assigned { host, .. } = &progress.state {
                 job.assigned -= 1;
+                let member = TaskRef { index: index as u32, ..*task };
                 if let Some(host) = self.hosts.get_mut(host) {
-                    host.remove(&TaskRef { index: index as u32, ..*task });
+                    host.remove(&member);
                 }
+                self.run_times.forget_run(&member);
                 self.changed_hosts.insert(host.clone());
             }
             progress.state = state.clone();
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -80,6 +80,8 @@
     settled_at: Option<TimeMs>,
     /// The share of its full speed that was last set for the run, in percent.
     paced_percent: u8,
+    /// The progress in percent that the leader of this session was last told of, and when; `None` before.
+    sent_progress: Option<(u8, TimeMs)>,
     validity: Validity,
 }
 
@@ -139,6 +141,7 @@
 mod evidence;
 mod incarnation;
 mod pacing;
+mod progress;
 mod restarts;
 mod room;
 mod starts;
@@ -300,6 +303,7 @@
         state.session_number += 1;
         // A leader that has not heard of a rejection orders the start again.
         state.rejected.clear();
+        state.repeat_progress();
         state.send_snapshot();
         Ok(receiver)
     }
--- a/crates/fleet/src/agent/starts.rs
+++ b/crates/fleet/src/agent/starts.rs
@@ -74,6 +74,7 @@
             started_at: None,
             settled_at: (status == RunStatus::Running).then_some(state.current.report_sent_at),
             paced_percent: 100,
+            sent_progress: None,
             validity,
         };
         state.current.orders.insert(start.task, order);
--- a/crates/fleet/src/agent/stops.rs
+++ b/crates/fleet/src/agent/stops.rs
@@ -24,6 +24,7 @@
             started_at: None,
             settled_at: None,
             paced_percent: 100,
+            sent_progress: None,
             validity,
         }
     }
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -44,6 +44,8 @@
     pub run: u32,
     /// The latest checkpoint; `None` until the run has saved one.
     pub checkpoint: Option<String>,
+    /// The work done, in percent of the task's work; `None` if the endpoint does not say.
+    pub percent: Option<u8>,
     /// The tail latency in milliseconds of a task that serves users, or the processor usage of another task in
     /// thousandths of a core.
     pub reading: u32,
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -4,7 +4,9 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{Batch, CountedCrash, Effect, HostName, JobId, Phase, RunOutcome, Scheduler, StartCheck},
+    jobs::{
+        Batch, CountedCrash, Effect, HostName, JobId, Phase, RunOutcome, Scheduler, StartCheck, run_times::SlowRun,
+    },
     units::TimeMs,
 };
 use tokio::{
@@ -17,7 +19,7 @@
 use crate::{
     entry::{EPOCHS_PER_MS, Entry, back_off},
     message::{Start, ToAgent, ToLeader},
-    metrics::OutcomeLabel,
+    metrics::{OutcomeLabel, PredictionLabel},
     session::{self, Leadership, SessionEvent},
     store::{JobRecord, LeaderMark, LeaderRecord, Record, StoreError, Stream},
 };
@@ -132,6 +134,7 @@
             log::warn!("host lost because its lease has ended: host={host}");
         }
         leader.send_pair_tables();
+        leader.report_slow_runs();
         leader.set_gauges();
         if leader.pending_batch.is_none() {
             leader.append_next();
@@ -397,6 +400,10 @@
             SessionEvent::Started(jobs) => return self.scheduler.jobs_started(&jobs, now),
             SessionEvent::Suspected(Some(suspicion)) => return self.scheduler.host_suspected(host, suspicion),
             SessionEvent::Suspected(None) => return self.scheduler.suspicion_withdrawn(host),
+            SessionEvent::Progressed(reports) => {
+                self.entry.config.metrics.progress_reports.inc_by(reports.len() as u64);
+                return self.scheduler.run_progressed(host, &reports, now);
+            }
             SessionEvent::Received(message) => message,
         };
         match message {
@@ -465,6 +472,23 @@
         }
     }
 
+    /// Logs runs that have become slow for their steps, and sets the gauges of run times.
+    fn report_slow_runs(&mut self) {
+        let Some(slow) = self.scheduler.take_slow_runs(self.entry.config.clock.moment()) else { return };
+        for (run, _) in slow.iter().filter(|(_, known)| !known) {
+            let SlowRun { task, run, host, elapsed_ms, percent, median_ms } = run;
+            log::info!(
+                "run slow for its step: task={task} run={run} host={host} elapsed_ms={elapsed_ms} percent={percent:?} median_ms={median_ms}"
+            );
+        }
+        let metrics = &self.entry.config.metrics;
+        metrics.slow_runs.set(slow.len() as i64);
+        if let Some((expected, estimate)) = self.scheduler.run_times().errors_percent() {
+            metrics.run_time_error_percent.get_or_create(&PredictionLabel { by: "expectation" }).set(expected as i64);
+            metrics.run_time_error_percent.get_or_create(&PredictionLabel { by: "estimate" }).set(estimate as i64);
+        }
+    }
+
     fn set_gauges(&self) {
         let metrics = &self.entry.config.metrics;
         metrics.waiting_steps.set(self.scheduler.waiting_steps() as i64);
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -10,7 +10,7 @@
 
 use fescuelead_core::{
     jobs::{
-        HostInfo, JobId, Rejection, RunEnd, Suspicion, TaskRef,
+        HostInfo, JobId, Rejection, RunEnd, RunProgress, Suspicion, TaskRef,
         image_interference::{Change, PairTable},
         pace::{Headroom, Paces},
     },
@@ -110,6 +110,10 @@
             /// versions neither send nor read this field.
             #[serde(deserialize_with = "fescuelead_core::trailing::or_default")]
             suspicion: Option<Suspicion>,
+            /// The progress of runs that has changed since it was last sent in this session. Earlier versions neither send nor read
+            /// this field.
+            #[serde(deserialize_with = "fescuelead_core::trailing::or_default")]
+            progress: Vec<RunProgress>,
         },
         /// The endpoint's latest announcement; `None` if there is none yet, or while the endpoint refuses connections or is lost.
         Info(Option<HostInfo>),
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -35,6 +35,13 @@
     pub outcome: &'static str,
 }
 
+/// The label of a prediction of run times.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PredictionLabel {
+    /// `expectation` of the leader, or `estimate` of the client.
+    pub by: &'static str,
+}
+
 /// A counter and a latency histogram of calls, by kind and outcome.
 #[derive(Debug, Clone)]
 pub struct Calls {
@@ -83,6 +90,9 @@
     pub tasks_moved: Counter,
     pub tasks_given_up: Counter,
     pub waiting_steps: Gauge,
+    pub progress_reports: Counter,
+    pub slow_runs: Gauge,
+    pub run_time_error_percent: Family<PredictionLabel, Gauge>,
     pub hosts_connected: Gauge,
     pub unreported_runs: Gauge,
     pub config_version: Gauge,
@@ -111,6 +121,13 @@
             self.tasks_given_up.clone(),
         );
         r.register("waiting_steps", "Steps with tasks that wait for a host", self.waiting_steps.clone());
+        r.register("progress_reports", "Reported changes of the progress of runs", self.progress_reports.clone());
+        r.register("slow_runs", "Runs that are slow for their steps", self.slow_runs.clone());
+        r.register(
+            "run_time_error_percent",
+            "Median error of predicted durations of the latest runs",
+            self.run_time_error_percent.clone(),
+        );
         r.register("hosts_connected", "Hosts with a session of this leader", self.hosts_connected.clone());
         r.register(
             "unreported_runs",
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -9,7 +9,7 @@
 
 use fescuelead_core::{
     jobs::{
-        HostName, JobId, Suspicion,
+        HostName, JobId, RunProgress, Suspicion,
         lease::{LeadershipProof, LeasePlan},
     },
     units::TimeMs,
@@ -94,7 +94,8 @@
                     messages.push(message);
                 }
                 let (started, suspicion) = (agent.take_started_jobs(), agent.suspicion());
-                messages.push(ToLeader::Ask { asked_ms: agent.now().0, started, suspicion });
+                let progress = agent.take_progress();
+                messages.push(ToLeader::Ask { asked_ms: agent.now().0, started, suspicion, progress });
             }
         }
         while let Ok(message) = outgoing.try_recv() {
@@ -148,6 +149,8 @@
     Started(Vec<JobId>),
     /// The endpoint of the host refuses connections; `None` once it has answered.
     Suspected(Option<Suspicion>),
+    /// Runs on the host have made progress.
+    Progressed(Vec<RunProgress>),
     Closed {
         /// When the leader last granted a lease in this session; `None` if it granted none.
         last_grant_at: Option<TimeMs>,
@@ -239,7 +242,7 @@
                         leadership.superseded.set(true);
                         break;
                     }
-                    Some(ToLeader::Ask { asked_ms, started, suspicion }) => {
+                    Some(ToLeader::Ask { asked_ms, started, suspicion, progress }) => {
                         let mut grant_ms = 0;
                         if leadership.holds() {
                             grant_ms = leadership.plan.grant_ms;
@@ -250,7 +253,8 @@
                         let was_suspected = std::mem::replace(&mut is_suspected, suspicion.is_some());
                         let is_news = is_suspected || was_suspected;
                         let suspected = is_news.then_some(SessionEvent::Suspected(suspicion));
-                        let reported = started.into_iter().chain(suspected);
+                        let progressed = (!progress.is_empty()).then_some(SessionEvent::Progressed(progress));
+                        let reported = started.into_iter().chain(suspected).chain(progressed);
                         if reported.map(|event| events.send((host.clone(), event))).any(|sent| sent.is_err()) {
                             break;
                         }
--- a/crates/fleet/tests/sessions.rs
+++ b/crates/fleet/tests/sessions.rs
@@ -169,7 +169,7 @@
             vec![ToLeader::Info(available.then(info)), ToLeader::Runs { incarnation: INCARNATION, running }];
         while !self.disconnect.take() && !reading.is_finished() {
             self.thaw().await;
-            messages.push(ToLeader::Ask { asked_ms: 1, started: Vec::new(), suspicion: None });
+            messages.push(ToLeader::Ask { asked_ms: 1, started: Vec::new(), suspicion: None, progress: Vec::new() });
             let sent = std::mem::take(&mut messages);
             if !self.muted.get() && message::write(&mut writer, &sent).await.is_err() {
                 break;
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -228,6 +228,8 @@
     pub delay_starts_ms: Rc<Cell<u64>>,
     /// Whether the ended runs that a report lists cannot be read.
     pub unreadable_ends: Rc<Cell<bool>>,
+    /// The work done that reports state for each run, in percent.
+    pub percent: Rc<Cell<Option<u8>>>,
     /// How long the answer of a report call is under way, in milliseconds.
     pub late_reports_ms: Rc<Cell<u64>>,
     /// All runs that were started, in order.
@@ -459,8 +461,12 @@
         self.check_open(connection)?;
         let report = {
             let state = self.state.borrow();
-            let running =
-                state.runs.iter().map(|(&task, &run)| Running { task, run, checkpoint: None, reading: 0 }).collect();
+            let percent = self.percent.get();
+            let running = state
+                .runs
+                .iter()
+                .map(|(&task, &run)| Running { task, run, checkpoint: None, percent, reading: 0 })
+                .collect();
             let listed = if self.unreadable_ends.get() { 0 } else { MAX_LISTED_ENDS };
             let ended: Vec<_> = state.ended.values().take(listed).cloned().collect();
             let is_complete = state.ended.len() < MAX_LISTED_ENDS && ended.len() == state.ended.len();
--- a/crates/fleet/tests/support/session.rs
+++ b/crates/fleet/tests/support/session.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{HostInfo, JobId, Suspicion, TaskRef, lease::LeasePlan},
+    jobs::{HostInfo, JobId, RunProgress, Suspicion, TaskRef, lease::LeasePlan},
     units::Resources,
 };
 use fescuelead_fleet::{
@@ -34,6 +34,8 @@
     pub grants: bool,
     /// What the latest request for a grant suspects.
     pub suspicion: Option<Suspicion>,
+    /// All progress that requests for grants have stated.
+    pub progress: Vec<RunProgress>,
 }
 
 impl Leader {
@@ -42,7 +44,8 @@
         let (leader_end, agent_end) = tokio::io::duplex(1 << 20);
         spawn_local(agent.clone().session(agent_end));
         let (reader, writer) = tokio::io::split(leader_end);
-        let mut leader = Self { reader: BufReader::new(reader), writer, grants: true, suspicion: None };
+        let mut leader =
+            Self { reader: BufReader::new(reader), writer, grants: true, suspicion: None, progress: Vec::new() };
         leader.send(ToAgent::Hello { epoch, leader: "leader".to_owned() }).await;
         leader
     }
@@ -73,8 +76,9 @@
         let until = Instant::now() + Duration::from_millis(ms);
         while let Ok(Ok(message)) = tokio::time::timeout_at(until, message::read::<ToLeader>(&mut self.reader)).await {
             match message {
-                ToLeader::Ask { asked_ms, suspicion, .. } => {
+                ToLeader::Ask { asked_ms, suspicion, progress, .. } => {
                     self.suspicion = suspicion;
+                    self.progress.extend(progress);
                     let grant_ms = if self.grants { GRANT_MS } else { 0 };
                     self.send(ToAgent::Grant { asked_ms, grant_ms }).await;
                 }
--- a/crates/fleet/tests/versions.rs
+++ b/crates/fleet/tests/versions.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use fescuelead_core::jobs::{
-    JobId, JobProgress, JobSpec, Phase, QueueSettings, StepSpec, TaskRef, progress::TaskProgress,
+    JobId, JobProgress, JobSpec, Phase, QueueSettings, RunProgress, StepSpec, TaskRef, progress::TaskProgress,
 };
 use fescuelead_fleet::message::{self, Start, ToAgent, ToLeader};
 use serde::Deserialize;
@@ -44,6 +44,22 @@
     }
 }
 
+/// Guards against a leader and an agent of which only one knows of the progress of runs, and which lose their session with
+/// each request for a grant.
+#[tokio::test]
+async fn a_request_for_a_grant_is_understood_with_and_without_progress() {
+    let progress = vec![RunProgress { task: TASK, run: 1, percent: 40, elapsed_ms: 1_500 }];
+    let ask = ToLeader::Ask { asked_ms: 1, started: Vec::new(), suspicion: None, progress };
+    let frame = message::encode(std::slice::from_ref(&ask)).expect("a frame");
+    assert_eq!(message::read::<ToLeader>(&mut frame.as_slice()).await.expect("a message"), ask);
+
+    let without = ToLeader::Ask { asked_ms: 1, started: Vec::new(), suspicion: None, progress: Vec::new() };
+    let mut frame = message::encode(std::slice::from_ref(&without)).expect("a frame");
+    assert_eq!(frame.pop(), Some(0), "the length of the list is the last byte");
+    frame[3] -= 1;
+    assert_eq!(message::read::<ToLeader>(&mut frame.as_slice()).await.expect("a message"), without);
+}
+
 /// Guards against an agent that loses the session with a leader of an earlier version as soon as it is ordered to start a
 /// run.
 #[tokio::test]
