--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -80,6 +80,8 @@
     settled_at: Option<TimeMs>,
     /// The share of its full speed that was last set for the run, in percent.
     paced_percent: u8,
+    /// The progress in percent that the leader of this session was last told of, and when; `None` before.
+    sent_progress: Option<(u8, TimeMs)>,
     validity: Validity,
 }
 
@@ -141,6 +143,7 @@
 mod incarnation;
 pub mod listener;
 mod pacing;
+mod progress;
 mod restarts;
 mod room;
 mod starts;
@@ -292,6 +295,7 @@
         state.session_number += 1;
         // A leader that has not heard of a rejection orders the start again.
         state.rejected.clear();
+        state.repeat_progress();
         state.send_snapshot();
         Ok(receiver)
     }
--- a/crates/fleet/tests/support/session.rs
+++ b/crates/fleet/tests/support/session.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{HostInfo, JobId, Suspicion, TaskRef, lease::LeasePlan},
+    jobs::{HostInfo, JobId, RunProgress, Suspicion, TaskRef, lease::LeasePlan},
     units::Resources,
 };
 use fescuelead_fleet::{
@@ -36,6 +36,8 @@
     pub grant_ms: u64,
     /// What the latest request for a grant suspects.
     pub suspicion: Option<Suspicion>,
+    /// All progress that requests for grants have stated.
+    pub progress: Vec<RunProgress>,
 }
 
 impl Leader {
@@ -44,8 +46,14 @@
         let (leader_end, agent_end) = tokio::io::duplex(1 << 20);
         spawn_local(agent.clone().session(agent_end));
         let (reader, writer) = tokio::io::split(leader_end);
-        let mut leader =
-            Self { reader: BufReader::new(reader), writer, grants: true, grant_ms: GRANT_MS, suspicion: None };
+        let mut leader = Self {
+            reader: BufReader::new(reader),
+            writer,
+            grants: true,
+            grant_ms: GRANT_MS,
+            suspicion: None,
+            progress: Vec::new(),
+        };
         leader.send(ToAgent::Hello { epoch, leader: "leader".to_owned() }).await;
         leader
     }
@@ -76,8 +84,9 @@
         let until = Instant::now() + Duration::from_millis(ms);
         while let Ok(Ok(message)) = tokio::time::timeout_at(until, message::read::<ToLeader>(&mut self.reader)).await {
             match message {
-                ToLeader::Ask { asked_ms, suspicion, .. } => {
+                ToLeader::Ask { asked_ms, suspicion, progress, .. } => {
                     self.suspicion = suspicion;
+                    self.progress.extend(progress);
                     let grant_ms = if self.grants { self.grant_ms } else { 0 };
                     self.send(ToAgent::Grant { asked_ms, grant_ms }).await;
                 }
