--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -250,8 +250,8 @@
                         let was_suspected = std::mem::replace(&mut is_suspected, suspicion.is_some());
                         let is_news = is_suspected || was_suspected;
                         let suspected = is_news.then_some(SessionEvent::Suspected(suspicion));
-                        let reported = started.into_iter().chain(suspected);
-                        if reported.map(|event| events.send((host.clone(), event))).any(|sent| sent.is_err()) {
+                        let mut reported = started.into_iter().chain(suspected);
+                        if reported.any(|event| events.send((host.clone(), event)).is_err()) {
                             break;
                         }
                     }
