--- a/crates/fleet/src/agent/departure.rs
+++ b/crates/fleet/src/agent/departure.rs
@@ -5,8 +5,10 @@
 acknowledgement has not reached runs on for seconds, and if it refuses connections meanwhile it looks like one that has ended. A
 lease that was granted before the endpoint began to drain outlives the drain, so that its end is a late proof.
 
-The agent therefore stops what still runs when the endpoint deregisters, without the leader, and the deregistration is
-acknowledged once the ends are listed. It does the same when it is itself told to stop while its endpoint is leaving. What was not
+The agent therefore stops what still runs before the time that a draining endpoint has stated runs out, without the leader:
+first what resumes elsewhere, then the rest, which may still end on its own. An endpoint may refuse connections as soon as it
+has deregistered, so that a stop at that moment may come too late. What still runs then is stopped all the same, and the
+deregistration is acknowledged once the ends are listed. It does the same when it is itself told to stop while its endpoint is leaving. What was not
 listed in time still needs the proofs for any loss. The lease is extended in short steps while the endpoint drains, and an agent
 that stops waits for its end, since its leader would otherwise count a whole grant from the end of the session on.
 */
@@ -24,6 +26,9 @@
 /// How long the acknowledgement of a deregistration waits for the ends of runs at most, in milliseconds. The endpoint expects it within
 /// a second, and a stop takes up to 900 ms.
 const DEPARTURE_TIMEOUT_MS: u64 = 950;
+/// How long before the stated end of the endpoint the runs are stopped that resume elsewhere, in milliseconds: a stop takes up to
+/// 900 ms, and the report of its end one interval of reports while the endpoint drains.
+const STOP_AHEAD_MS: u64 = 1_200;
 /// The pause between reports while runs end because the endpoint is leaving, in milliseconds. These reports do not wait for an end:
 /// between them, a stop can use their connection if the endpoint accepts no new ones.
 pub(super) const DEPARTURE_REPORT_INTERVAL_MS: u64 = 40;
@@ -77,17 +82,23 @@
         }
     }
 
-    /// Stops the runs of an endpoint that ends, each once, if it has deregistered or the agent stops. The stops are repeated until
-    /// they are answered, and a start without an answer is settled by its stop.
+    /// Stops the runs of an endpoint that ends, each once: all if it has deregistered or the agent stops, otherwise those whose
+    /// time has come. The stops are repeated until they are answered, and a start without an answer is settled by its stop.
     pub(super) fn stop_remaining_runs(self: &Rc<Self>) {
+        let now = self.clock.now();
         let (runs, cause) = {
             let state = self.state.borrow();
-            if !state.ends_runs() {
-                return;
-            }
+            let cause = match () {
+                () if state.ends_runs() && state.current.departing => "deregistered",
+                () if state.ends_runs() => "agent_stops",
+                () if state.is_ending(now) => "endpoint_ends",
+                () => return,
+            };
             let is_stopping = |task: &TaskRef| state.current.orders.get(task).is_some_and(|order| order.stopping);
-            let runs = state.listed_runs().into_iter().filter(|(task, _)| !is_stopping(task)).collect::<Vec<_>>();
-            (runs, if state.current.departing { "deregistered" } else { "agent_stops" })
+            let is_due = |task: &TaskRef| state.ends_runs() || state.must_end(*task, now);
+            let listed = state.listed_runs().into_iter();
+            let runs = listed.filter(|(task, _)| !is_stopping(task) && is_due(task)).collect::<Vec<_>>();
+            (runs, cause)
         };
         if runs.is_empty() {
             return;
@@ -134,6 +145,20 @@
         !self.endpoint_lost && (self.current.departing || self.shutting_down && self.is_leaving())
     }
 
+    /// Whether the endpoint drains and has stated an end that is near or has passed.
+    fn is_ending(&self, now: TimeMs) -> bool {
+        let ends_at = self.current.ends_at.filter(|_| self.is_draining() && !self.endpoint_lost);
+        ends_at.is_some_and(|ends_at| now.plus_ms(STOP_AHEAD_MS) >= ends_at)
+    }
+
+    /// Whether a run of the task has to be stopped before the endpoint ends, which is near. Serving tasks, which never end on their own,
+    /// and those that have saved a checkpoint resume elsewhere and go first; the others may end until the stated time is over.
+    fn must_end(&self, task: TaskRef, now: TimeMs) -> bool {
+        let serves = self.current.orders.get(&task).is_some_and(|order| order.tail_target_ms.is_some());
+        let resumes = self.current.running.get(&task).is_some_and(|running| running.checkpoint.is_some());
+        serves || resumes || self.current.ends_at.is_some_and(|ends_at| now >= ends_at)
+    }
+
     /// Whether an endpoint whose runs are being ended may still list further ends.
     pub(super) fn is_ending_runs(&self) -> bool {
         self.ends_runs() && !self.listed_runs().is_empty()
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -261,8 +261,8 @@
                         let is_news = is_suspected || was_suspected;
                         let suspected = is_news.then_some(SessionEvent::Suspected(suspicion));
                         let progressed = (!progress.is_empty()).then_some(SessionEvent::Progressed(progress));
-                        let reported = started.into_iter().chain(suspected).chain(progressed);
-                        if reported.map(|event| events.send((host.clone(), event))).any(|sent| sent.is_err()) {
+                        let mut reported = started.into_iter().chain(suspected).chain(progressed);
+                        if reported.any(|event| events.send((host.clone(), event)).is_err()) {
                             break;
                         }
                     }
