Explore schedules with endpoints that end as planned

Guards against a task that is started elsewhere before its stopped run has ended: jobs_explorer.rs announces and withdraws departures, and finds a leader that takes a stop for an end (StopMeansEnd). One step saves checkpoints, so that there is something to move.

Two things of the simulation had to follow the agent: a start that the leader calls off is sent as a stop, which rejects a run that does not exist; before, it was dropped, and its run waited for the next session.

--- a/crates/core/tests/jobs_explorer.rs
+++ b/crates/core/tests/jobs_explorer.rs
@@ -1,6 +1,6 @@
 /*!
 Randomized simulation of the job scheduler with faults: network partitions and crashes of hosts, endpoints that refuse
-connections after a crash or while they run on, replaced leaders that still grant leases, lost commands and reports, records that take long to store, and failing runs.
+connections after a crash or while they run on, endpoints that end as planned, replaced leaders that still grant leases, lost commands and reports, records that take long to store, and failing runs.
 
 Each seed gives one schedule. The simulation tracks which runs exist on which host and checks every start against them.
 */
@@ -12,8 +12,8 @@
 
 use fescuelead_core::{
     jobs::{
-        Batch, Effect, HostInfo, JobId, JobProgress, JobSpec, JobStatus, Moment, QueueSettings, Rejection, Replica,
-        RunEnd, RunOutcome, Scheduler, StartCheck, StepSpec, Suspicion, TaskRef,
+        Batch, Effect, HostInfo, JobId, JobProgress, JobSpec, JobStatus, Moment, MoveReason, QueueSettings, Rejection,
+        Replica, RunEnd, RunOutcome, Scheduler, StartCheck, StepSpec, Suspicion, TaskRef,
         lease::{LeasePlan, TICK_MARGIN_MS},
         pace::Paces,
     },
@@ -45,6 +45,8 @@
     SendOutdatedStarts,
     /// Takes an endpoint that refuses connections for one that has crashed.
     RefusalMeansCrash,
+    /// Takes a run that is stopped because its endpoint ends as planned for one that has ended.
+    StopMeansEnd,
 }
 
 #[derive(Debug, Default)]
@@ -98,6 +100,8 @@
     acknowledged: BTreeSet<TaskRef>,
     starts: u64,
     moves: u64,
+    /// The number of moves from endpoints that end as planned.
+    departures: u64,
     /// The number of endpoints that refused connections and ran on.
     cuts: u64,
     /// The number of crashes that were counted against a task.
@@ -135,7 +139,8 @@
     };
     let background =
         StepSpec { background: true, checkpoints: true, image: Some(IMAGE.to_owned()), ..step(rng, vec![]) };
-    let steps = vec![step(rng, vec![]), step(rng, vec![0]), background];
+    let checkpointing = StepSpec { checkpoints: true, estimate_ms: 5_000, ..step(rng, vec![]) };
+    let steps = vec![checkpointing, step(rng, vec![0]), background];
     let settings = QueueSettings {
         service: "s".to_owned(),
         priority: 0,
@@ -176,6 +181,7 @@
             acknowledged: BTreeSet::new(),
             starts: 0,
             moves: 0,
+            departures: 0,
             cuts: 0,
             crashes: 0,
             has_suspected_crash: false,
@@ -291,6 +297,16 @@
         self.crashes += self.scheduler.reconcile_host(&name, incarnation, &running, moment).len() as u64;
     }
 
+    /// The endpoint drains and states how long it continues, or drains no more.
+    fn announce_departure(&mut self, index: usize, remaining_ms: Option<u64>) {
+        if self.hosts[index].has_session && self.hosts[index].refusal.is_none() {
+            let (name, now) = (host_name(index), TimeMs(self.now));
+            let draining = remaining_ms.is_some();
+            self.scheduler.host_info_changed(&name, Some(HostInfo { draining, ..info() }));
+            self.scheduler.host_departure_announced(&name, remaining_ms.map(|left_ms| now.plus_ms(left_ms)));
+        }
+    }
+
     fn connect(&mut self, index: usize) {
         let host = &mut self.hosts[index];
         if host.has_session || host.partitioned {
@@ -411,20 +427,30 @@
     /// Stores the records of a batch and sends its commands.
     fn apply(&mut self, batch: Batch) {
         self.store(batch.records);
-        for effect in batch.effects {
+        for mut effect in batch.effects {
             if let Effect::Start { host, incarnation, task, run, reported, .. } = &effect
                 && self.bug != InjectedBug::SendOutdatedStarts
-                && self.scheduler.check_start(host, *incarnation, task, *run, *reported) != StartCheck::Send
             {
-                continue;
+                match self.scheduler.check_start(host, *incarnation, task, *run, *reported) {
+                    StartCheck::Send => {}
+                    StartCheck::Stop => effect = Effect::Stop { host: host.clone(), task: *task, run: *run },
+                    StartCheck::Drop => continue,
+                }
             }
             let (Effect::Start { host, .. }
             | Effect::Stop { host, .. }
             | Effect::Move { host, .. }
             | Effect::Forget { host, .. }) = &effect;
+            if let Effect::Move { host, task, run, reason: MoveReason::Departure } = &effect
+                && self.bug == InjectedBug::StopMeansEnd
+            {
+                let (incarnation, moment) = (self.hosts[host_index(host)].incarnation, self.moment());
+                self.scheduler.run_rejected(host, incarnation, task, *run, Rejection::Unhealthy, moment);
+            }
             let host = &mut self.hosts[host_index(host)];
             if host.has_session {
-                self.moves += u64::from(matches!(effect, Effect::Move { .. }));
+                self.moves += u64::from(matches!(effect, Effect::Move { reason: MoveReason::Throttled, .. }));
+                self.departures += u64::from(matches!(effect, Effect::Move { reason: MoveReason::Departure, .. }));
                 host.commands.push_back(effect);
             }
         }
@@ -434,7 +460,10 @@
     fn withdraw(&mut self, effect: &Effect) {
         if let Effect::Start { host, incarnation, task, run, reported: false, .. } = effect {
             let exists = self.hosts[host_index(host)].runs.get(task).is_some_and(|(current, _)| current == run);
-            if !exists && self.hosts[host_index(host)].incarnation == *incarnation {
+            // An agent keeps the order of a run that it has started until its end is listed, and then the end.
+            let mut ends = self.hosts[host_index(host)].ends.values();
+            let has_ended = ends.any(|ended| ended.task == *task && ended.run == *run);
+            if !exists && !has_ended && self.hosts[host_index(host)].incarnation == *incarnation {
                 let moment = self.moment();
                 self.hosts[host_index(host)].rejected.insert((*task, *run));
                 self.scheduler.run_rejected(host, *incarnation, task, *run, Rejection::Unhealthy, moment);
@@ -483,12 +512,17 @@
                 self.starts += 1;
             }
             Effect::Stop { host, task, run } | Effect::Move { host, task, run, .. } => {
-                let host = &mut self.hosts[host_index(&host)];
+                let (name, moment) = (host, self.moment());
+                let host = &mut self.hosts[host_index(&name)];
                 let highest = host.highest_runs.entry(task).or_default();
                 *highest = run.max(*highest);
+                let has_ended = host.ends.values().any(|ended| ended.task == task && ended.run == run);
                 if host.runs.get(&task).is_some_and(|(current, _)| *current == run) {
                     host.runs.remove(&task);
                     host.end(task, run, RunOutcome::Interrupted);
+                } else if !has_ended && host.has_session {
+                    let incarnation = host.incarnation;
+                    self.scheduler.run_rejected(&name, incarnation, &task, run, Rejection::Outdated, moment);
                 }
             }
             Effect::Forget { host, incarnation, up_to } => {
@@ -516,7 +550,7 @@
 
     fn step(&mut self, recovery_phase: bool) {
         let index = self.rng.random_range(0..HOSTS);
-        match self.rng.random_range(0..114) {
+        match self.rng.random_range(0..126) {
             0..30 => {
                 if let Some(effect) = self.hosts[index].commands.pop_front().filter(|_| !self.hosts[index].partitioned)
                 {
@@ -560,6 +594,10 @@
             _ if recovery_phase => {}
             104..109 => self.refuse(index, false),
             109..114 => self.refuse(index, true),
+            114..126 => {
+                let remaining_ms = self.rng.random_bool(0.6).then(|| self.rng.random_range(0..400));
+                self.announce_departure(index, remaining_ms);
+            }
             90..92 => self.disconnect(index),
             92..94 => {
                 self.hosts[index].partitioned = true;
@@ -600,14 +638,15 @@
 }
 
 /// Simulates one schedule: a phase with all faults, then a recovery phase without partitions and host crashes until all
-/// jobs have ended. Returns the numbers of started runs, moves, cuts and counted crashes.
-fn simulate(seed: u64, bug: InjectedBug) -> [u64; 4] {
+/// jobs have ended. Returns the numbers of started runs, moves, cuts, counted crashes and moves from endpoints that end.
+fn simulate(seed: u64, bug: InjectedBug) -> [u64; 5] {
     let mut simulation = Simulation::new(seed, bug);
     for _ in 0..EVENTS {
         simulation.step(false);
     }
     simulation.hosts.iter_mut().for_each(|host| host.partitioned = false);
     (0..HOSTS).for_each(|index| simulation.accept(index));
+    (0..HOSTS).for_each(|index| simulation.announce_departure(index, None));
     simulation.advance(8_000);
     for _ in 0..20_000 {
         simulation.step(true);
@@ -619,19 +658,22 @@
     for (job, copy) in simulation.stored.jobs() {
         assert_eq!(copy.status(), Some(JobStatus::Completed), "LOST job {job} does not end, seed {seed}");
     }
-    [simulation.starts, simulation.moves, simulation.cuts, simulation.crashes]
+    [simulation.starts, simulation.moves, simulation.cuts, simulation.crashes, simulation.departures]
 }
 
 #[test]
 fn no_schedule_duplicates_a_run_overcommits_a_host_or_loses_a_job() {
-    let [starts, moves, cuts, crashes] =
-        (0..SCHEDULES).map(|seed| simulate(seed, InjectedBug::None)).fold([0; 4], |sum, counts| {
+    let [starts, moves, cuts, crashes, departures] =
+        (0..SCHEDULES).map(|seed| simulate(seed, InjectedBug::None)).fold([0; 5], |sum, counts| {
             let mut counts = counts.into_iter();
             sum.map(|sum| sum + counts.next().unwrap_or_default())
         });
-    println!("{SCHEDULES} schedules, {starts} starts, {moves} moves, {cuts} cuts, {crashes} counted crashes");
+    println!(
+        "{SCHEDULES} schedules, {starts} starts, {moves} moves, {departures} departures, {cuts} cuts, {crashes} counted crashes"
+    );
     assert!(starts > SCHEDULES * JOBS);
     assert!(moves > SCHEDULES / 10);
+    assert!(departures > SCHEDULES / 10);
     assert!(cuts > SCHEDULES && crashes > SCHEDULES / 20);
 }
 
@@ -642,6 +684,7 @@
 #[case(InjectedBug::ForgetBeforeRecord)]
 #[case(InjectedBug::SendOutdatedStarts)]
 #[case(InjectedBug::RefusalMeansCrash)]
+#[case(InjectedBug::StopMeansEnd)]
 fn an_injected_bug_is_detected(#[case] bug: InjectedBug) {
     let seed = (0..SCHEDULES).find(|&seed| std::panic::catch_unwind(|| simulate(seed, bug)).is_err());
     println!("{bug:?} detected by seed {seed:?}");
