Order waiting steps by what their tasks take where estimates are bad

Work and critical path left followed the clients' estimates, so that a job that takes ten times as long as estimated went before one that is nearly complete. They now take the expected duration where it differs from the estimate by more than 50 percent; the value of a job and whether it has begun still depend on the estimates.

--- a/crates/core/src/jobs/run_times.rs
+++ b/crates/core/src/jobs/run_times.rs
@@ -41,6 +41,8 @@
 const SPEED_WINDOW_MS: f32 = 4_000.0;
 /// A run without a report for longer than this has a progress that stands still, in milliseconds: twice the interval of reports.
 const MAX_SILENCE_MS: u64 = 2_000;
+/// An estimate that is off by at most this counts as good, in percent of the smaller of the estimate and the duration.
+const MAX_TRUSTED_ERROR_PERCENT: u64 = 50;
 /// Errors of predictions are capped at this, in percent.
 const MAX_ERROR_PERCENT: u64 = 10_000;
 
@@ -375,6 +377,17 @@
         }
     }
 
+    /// The estimate, or the expected duration if it differs from that by more than [`MAX_TRUSTED_ERROR_PERCENT`]. For decisions
+    /// that should not change where estimates are good. Logarithmic time.
+    pub fn corrected_estimate_ms(&self, task: &TaskRef, shape: Shape<'_>) -> u64 {
+        let expected_ms = self.expected_duration(task, shape).duration_ms;
+        if error_percent(shape.estimate_ms, expected_ms) > MAX_TRUSTED_ERROR_PERCENT {
+            expected_ms
+        } else {
+            shape.estimate_ms
+        }
+    }
+
     /// When the run of a task is expected to end; `None` if the task has no run. A run that has outlasted its expectation is
     /// expected to take as long again as it is late. Logarithmic time.
     pub fn expected_end(&self, task: &TaskRef, shape: Shape<'_>, now: TimeMs) -> Option<ExpectedEnd> {
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -37,7 +37,7 @@
 
 pub(super) use crashes::QUIET_MS;
 pub use crashes::{CountedCrash, SUSPECT_AGE_MS, TRIAL_MS};
-use order::{MeanWork, ReadyKey, StepRef, Urgency};
+use order::{Durations, MeanWork, ReadyKey, StepRef, Urgency};
 pub use sessions::StartCheck;
 pub use suspicions::Suspicion;
 
@@ -480,7 +480,8 @@
                     self.due.insert((due, id));
                     continue;
                 }
-                let urgency = Urgency::new(&job.spec, &settings, occurrence, steps, &self.mean_work);
+                let durations = Durations { job: id, run_times: &self.run_times };
+                let urgency = Urgency::new(&job.spec, &settings, occurrence, steps, &self.mean_work, &durations);
                 for (step, tasks) in (0..).zip(steps) {
                     let has_waiting = tasks.iter().any(|task| task.state == TaskState::Waiting);
                     let after = &job.spec.steps[step as usize].after;
--- a/crates/core/src/jobs/scheduler/order.rs
+++ b/crates/core/src/jobs/scheduler/order.rs
@@ -6,6 +6,9 @@
 steps would end before the objective if it began now. Among these the job with the least work waiting for its value is
 first, so that a job that is nearly complete is completed. The value of a job grows with its work, which keeps small jobs
 from starving large ones.
+
+Work and chains that are left are judged by what tasks of the step or of the image have taken, where clients' estimates are off by
+more than half. What a job is worth, and whether it has begun, depends on the estimates alone.
 */
 
 use std::collections::BTreeMap;
@@ -13,7 +16,8 @@
 use super::Moment;
 use crate::jobs::{
     progress::{TaskProgress, TaskState},
-    spec::{JobId, JobSpec, QueueSettings},
+    run_times::{RunTimes, Shape},
+    spec::{JobId, JobSpec, QueueSettings, StepSpec, TaskRef},
 };
 
 /// The part of the mean value of a queue's jobs that each of its jobs has regardless of its work, in percent. The users
@@ -57,24 +61,32 @@
 }
 
 impl Urgency {
-    /// The urgency of an occurrence with the given progress of its steps. Linear in the number of tasks.
+    /// The urgency of an occurrence with the given progress of its steps. Linear in the number of tasks, and in that of steps
+    /// with a logarithmic factor.
     pub fn new(
         spec: &JobSpec,
         settings: &QueueSettings,
         occurrence: u32,
         steps: &[Vec<TaskProgress>],
         mean_work: &MeanWork,
+        durations: &Durations<'_>,
     ) -> Self {
         let objective_unix_ms = spec.objective_unix_ms(occurrence, settings);
         let start_unix_ms = spec.due_unix_ms(occurrence).unwrap_or(spec.accepted_unix_ms);
         let span_ms = objective_unix_ms.saturating_sub(start_unix_ms);
-        let work_left = spec.steps.iter().zip(steps).fold(0_u64, |sum, (step, tasks)| {
-            let waiting = tasks.iter().filter(|task| task.state == TaskState::Waiting).count();
-            sum.saturating_add(step.task_work().saturating_mul(waiting as u64))
-        });
+        let (mut work_left, mut estimated_work_left) = (0_u64, 0_u64);
+        let mut steps_left = Vec::with_capacity(spec.steps.len());
+        for ((index, step), tasks) in (0..).zip(&spec.steps).zip(steps) {
+            let waiting = tasks.iter().filter(|task| task.state == TaskState::Waiting).count() as u64;
+            let is_done = tasks.iter().all(|task| task.state == TaskState::Done);
+            let duration_ms = if is_done { 0 } else { durations.corrected_ms(spec, step, occurrence, index) };
+            work_left = work_left.saturating_add(step.work_of(duration_ms).saturating_mul(waiting));
+            estimated_work_left = estimated_work_left.saturating_add(step.task_work().saturating_mul(waiting));
+            steps_left.push(if is_done { None } else { Some(duration_ms) });
+        }
         // A job without runs starts a single task on any host after a while, which is no beginning.
-        let begun = work_left.saturating_mul(2) < spec.work();
-        let path_left_ms = critical_path_left_ms(spec, steps);
+        let begun = estimated_work_left.saturating_mul(2) < spec.work();
+        let path_left_ms = critical_path_left_ms(spec, &steps_left);
         let needed_ms = if begun { 0 } else { path_left_ms.saturating_mul(100 + START_MARGIN_PERCENT) / 100 };
         Self {
             priority: settings.priority,
@@ -85,13 +97,29 @@
     }
 }
 
-/// The estimated duration of the longest chain of steps that are not done, in milliseconds.
-fn critical_path_left_ms(spec: &JobSpec, steps: &[Vec<TaskProgress>]) -> u64 {
+/// What the tasks of a job are expected to take.
+pub(super) struct Durations<'a> {
+    pub job: JobId,
+    pub run_times: &'a RunTimes,
+}
+
+impl Durations<'_> {
+    fn corrected_ms(&self, spec: &JobSpec, step: &StepSpec, occurrence: u32, index: u32) -> u64 {
+        if step.long_running {
+            return step.estimate_ms;
+        }
+        let task = TaskRef { job: self.job, occurrence, step: index, index: 0 };
+        self.run_times.corrected_estimate_ms(&task, Shape::new(spec, step))
+    }
+}
+
+/// The expected duration of the longest chain of steps that are not done, in milliseconds. `steps_left` holds the duration of a
+/// usual task of each step, `None` for a step that is done.
+fn critical_path_left_ms(spec: &JobSpec, steps_left: &[Option<u64>]) -> u64 {
     let mut end_ms: Vec<u64> = Vec::with_capacity(spec.steps.len());
-    for (step, tasks) in spec.steps.iter().zip(steps) {
+    for (step, duration_ms) in spec.steps.iter().zip(steps_left) {
         let start_ms = step.after.iter().filter_map(|&on| end_ms.get(on as usize)).max().copied().unwrap_or(0);
-        let is_done = tasks.iter().all(|task| task.state == TaskState::Done);
-        end_ms.push(if is_done { 0 } else { start_ms.saturating_add(step.slowest_task_ms()) });
+        end_ms.push(duration_ms.map_or(0, |duration_ms| start_ms.saturating_add(step.slowest_of_ms(duration_ms))));
     }
     end_ms.into_iter().max().unwrap_or(0)
 }
--- a/crates/core/src/jobs/spec.rs
+++ b/crates/core/src/jobs/spec.rs
@@ -202,12 +202,22 @@
     /// slowest of many takes longer: 1.6 times as long of 10 tasks, and 1.9 times of 40, if their durations differ by about
     /// a third.
     pub fn slowest_task_ms(&self) -> u64 {
-        (self.estimate_ms as f64 * (1.0 + f64::from(self.tasks.max(1)).ln() / 4.0)) as u64
+        self.slowest_of_ms(self.estimate_ms)
+    }
+
+    /// The same as [`Self::slowest_task_ms`] if a usual task takes `duration_ms`.
+    pub fn slowest_of_ms(&self, duration_ms: u64) -> u64 {
+        (duration_ms as f64 * (1.0 + f64::from(self.tasks.max(1)).ln() / 4.0)) as u64
     }
 
     /// The estimated work of one task, in milliseconds of a core; at least 1.
     pub fn task_work(&self) -> u64 {
-        (u64::from(self.resources.cpu_milli).saturating_mul(self.estimate_ms) / 1_000).max(1)
+        self.work_of(self.estimate_ms)
+    }
+
+    /// The work of one task that takes `duration_ms`, in milliseconds of a core; at least 1.
+    pub fn work_of(&self, duration_ms: u64) -> u64 {
+        (u64::from(self.resources.cpu_milli).saturating_mul(duration_ms) / 1_000).max(1)
     }
 }
 
--- a/crates/core/tests/run_times.rs
+++ b/crates/core/tests/run_times.rs
@@ -219,3 +219,41 @@
     next.job_cancelled(JobId(1), moment(1_019_000));
     assert_eq!(next.expected_end(&task(1, 19), TimeMs(1_019_000)), None);
 }
+
+/// Guards against an order of waiting jobs that follows estimates which are off by 90 percent, and against one that changes
+/// where they are good. Both jobs have the same estimates, and the second one runs an image whose tasks took `second_ms`.
+#[rstest]
+#[case::good_estimates(RUN_MS, 1_500, 1)]
+#[case::off_by_90_percent(RUN_MS, 200, 2)]
+#[case::both_off(19_000, 20_000, 1)]
+fn jobs_wait_in_the_order_of_what_their_tasks_take(
+    #[case] first_ms: u64,
+    #[case] second_ms: u64,
+    #[case] started_first: u64,
+) {
+    let mut stored = Replica::new();
+    let mut scheduler = leader(&stored, 1_000_000, &[]);
+    let mut at = 1_000_000;
+    for (job, image, took_ms) in [(1, "first", first_ms), (2, "second", second_ms)] {
+        scheduler.job_submitted(JobId(job), Arc::new(spec(RUN_MS, Some(image))), moment(at));
+        let running = step(&mut scheduler, &mut stored, at);
+        at += took_ms;
+        for (number, (task, run)) in (100 * job..).zip(running) {
+            let ended = RunEnd { number, task, run, end: RunOutcome::Done, checkpoint: None };
+            scheduler.run_ended(&HOST.to_owned(), UNIX_MS, &ended, moment(at));
+        }
+    }
+    let waiting_spec = |image| {
+        let mut spec = spec(RUN_MS, Some(image));
+        // A queue whose jobs have the same mean work when either is accepted.
+        spec.queue = "waiting".to_owned();
+        spec.accepted_unix_ms = UNIX_MS + at;
+        spec.settings.latency_ms = 1_000_000;
+        spec.steps[0].resources = Resources::new(64_000, 100);
+        Arc::new(spec)
+    };
+    scheduler.job_submitted(JobId(3), waiting_spec("first"), moment(at));
+    scheduler.job_submitted(JobId(4), waiting_spec("second"), moment(at));
+    let started: Vec<_> = step(&mut scheduler, &mut stored, at).iter().map(|(task, _)| task.job).collect();
+    assert_eq!(started, [JobId(2 + started_first)]);
+}
