Reserve room for waiting steps that smaller ones pass over

Small tasks fill every gap, so that tasks which need most of a host, and gangs, wait for as long as small ones arrive. A step among the most urgent waiting ones that others of the same or a lesser priority, which need less, have passed over for 2 s now gets a reservation on the hosts that are expected to have room first. Others backfill such a host if they are expected to end in time or fit beside it; after 3 s it is closed to them. More urgent priorities ignore reservations.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -37,8 +37,8 @@
     replica::{JobStatus, Replica},
     run_times::RunProgress,
     scheduler::{
-        Batch, CountedCrash, Effect, Moment, Rejection, RunEnd, RunOutcome, SUSPECT_AGE_MS, Scheduler, StartCheck,
-        Suspicion, TRIAL_MS,
+        Batch, CountedCrash, Effect, MAX_BACKFILL_MS, MAX_PASSED_OVER_MS, Moment, Rejection, ReservationChange, RunEnd,
+        RunOutcome, SUSPECT_AGE_MS, Scheduler, StartCheck, StepRef, Suspicion, TRIAL_MS,
     },
     spec::{JobId, JobSpec, QueueSettings, StepSpec, TaskRef},
 };
--- a/crates/core/src/jobs/hosts.rs
+++ b/crates/core/src/jobs/hosts.rs
@@ -4,7 +4,7 @@
 
 use super::{
     image_interference::PairTable,
-    scheduler::{QUIET_MS, TRIAL_MS},
+    scheduler::{QUIET_MS, RoomReservation, TRIAL_MS},
     spec::{StepSpec, TaskRef},
 };
 use crate::{
@@ -109,6 +109,8 @@
     /// The task on trial that the host is set aside for: nothing else starts there. Stands for its whole gang if it is a
     /// member of one. Not stored; a new leader sets hosts aside anew.
     pub reserved_for: Option<TaskRef>,
+    /// Room for a waiting step that others have passed over. Not stored; a new leader reserves room anew.
+    pub reservation: Option<RoomReservation>,
     /// When a run was last assigned to the host, or when the leader took over with runs on it.
     assigned_at: Option<TimeMs>,
 }
@@ -135,6 +137,7 @@
             avoid_until: TimeMs::default(),
             trial_until: None,
             reserved_for: None,
+            reservation: None,
             assigned_at: None,
         }
     }
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -29,6 +29,7 @@
 mod moving;
 mod order;
 mod placing;
+mod reservations;
 mod runs;
 mod sessions;
 mod started;
@@ -37,7 +38,10 @@
 
 pub(super) use crashes::QUIET_MS;
 pub use crashes::{CountedCrash, SUSPECT_AGE_MS, TRIAL_MS};
-use order::{Durations, MeanWork, ReadyKey, StepRef, Urgency};
+pub use order::StepRef;
+use order::{Durations, MeanWork, ReadyKey, Urgency};
+pub(super) use reservations::RoomReservation;
+pub use reservations::{MAX_BACKFILL_MS, MAX_PASSED_OVER_MS, ReservationChange};
 pub use sessions::StartCheck;
 pub use suspicions::Suspicion;
 
@@ -190,6 +194,12 @@
     send_pairs_at: TimeMs,
     move_at: TimeMs,
     mean_work: MeanWork,
+    /// Since when waiting steps have been passed over by less urgent ones.
+    passed_over: BTreeMap<StepRef, TimeMs>,
+    /// The steps that hold reservations of room, and since when.
+    reservations: BTreeMap<StepRef, TimeMs>,
+    /// Changes of [`Self::reservations`] that the caller has not taken.
+    reservation_changes: Vec<ReservationChange>,
     run_times: RunTimes,
     /// When slow runs are next searched for.
     slow_runs_at: TimeMs,
@@ -229,6 +239,9 @@
             send_pairs_at: now.at,
             move_at: now.at,
             mean_work: MeanWork::default(),
+            passed_over: BTreeMap::new(),
+            reservations: BTreeMap::new(),
+            reservation_changes: Vec::new(),
             run_times: RunTimes::default(),
             slow_runs_at: now.at,
             trial_waits: BTreeMap::new(),
@@ -405,7 +418,7 @@
         }
         self.store_due_starts(now);
         self.end_trials(now.at);
-        self.check_reservations(now.at);
+        self.check_trial_hosts(now.at);
         self.place(now);
         self.move_throttled(now.at);
         lost
--- a/crates/core/src/jobs/scheduler/order.rs
+++ b/crates/core/src/jobs/scheduler/order.rs
@@ -33,9 +33,12 @@
 
 /// A step of an occurrence of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct StepRef {
+pub struct StepRef {
+    /// The job.
     pub job: JobId,
+    /// The occurrence of a repeated job, counted from 0.
     pub occurrence: u32,
+    /// The index of the step in [`JobSpec::steps`].
     pub step: u32,
 }
 
--- a/crates/core/src/jobs/scheduler/placing.rs
+++ b/crates/core/src/jobs/scheduler/placing.rs
@@ -2,7 +2,11 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use super::{Effect, Moment, ReadyKey, Scheduler, StepRef, trials::holder};
+use super::{
+    Effect, Moment, ReadyKey, Scheduler, StepRef,
+    reservations::{Backfill, Turn, Turns, committed},
+    trials::holder,
+};
 use crate::{
     interference::ClassId,
     jobs::{
@@ -38,6 +42,8 @@
     min_speed_percent: u32,
     /// A host that is not eligible.
     excluded: Option<&'s HostName>,
+    /// What decides on the hosts on which room is reserved for other steps; `None` if there are none.
+    backfill: Option<Backfill>,
     /// The hosts set aside for trials that are eligible; none otherwise.
     reserved_for: Option<TaskRef>,
     /// Whether only hosts set aside for `reserved_for` are eligible.
@@ -57,6 +63,7 @@
             label: None,
             min_speed_percent: MIN_SPEED_PERCENT,
             excluded: None,
+            backfill: None,
             reserved_for: None,
             only_reserved: false,
             before_quiet: false,
@@ -73,6 +80,11 @@
         Self { excluded: Some(host), ..self }
     }
 
+    /// Allows hosts on which room is reserved for another step if that step is not delayed.
+    pub fn with_backfill(self, backfill: Option<Backfill>) -> Self {
+        Self { backfill, ..self }
+    }
+
     /// Also allows the hosts that are set aside for this task on trial.
     pub fn with_reserved_for(self, holder: TaskRef) -> Self {
         Self { reserved_for: Some(holder), ..self }
@@ -151,16 +163,21 @@
         let changed = std::mem::take(&mut self.changed_hosts);
         let mut keys: Vec<_> = self.ready.iter().copied().collect();
         keys.sort_by_key(|key| key.scheduling_key(now));
+        let mut turns = Turns::default();
         for key in keys {
-            self.place_step(&key, &changed, now);
+            if let Some(turn) = self.place_step(&key, &changed, now) {
+                self.note_turn(&mut turns, turn);
+            }
         }
+        self.finish_turns(&turns, full, now.at);
     }
 
-    fn place_step(&mut self, key: &ReadyKey, changed: &BTreeSet<HostName>, now: Moment) {
+    /// Assigns what it can of a step. Returns what became of the step; `None` if it does not exist.
+    fn place_step(&mut self, key: &ReadyKey, changed: &BTreeSet<HostName>, now: Moment) -> Option<Turn> {
         let StepRef { job: id, occurrence, step: step_index } = key.step;
-        let Some(job) = self.jobs.get(&id) else { return };
+        let job = self.jobs.get(&id)?;
         let spec = job.spec.clone();
-        let Some(step) = spec.steps.get(step_index as usize) else { return };
+        let step = spec.steps.get(step_index as usize)?;
         let service = self.settings(&spec).service.clone();
         let tasks = &job.progress.occurrences[occurrence as usize][step_index as usize];
         let task_ref = |index: usize| TaskRef { job: id, occurrence, step: step_index, index: index as u32 };
@@ -174,7 +191,8 @@
         let idle = job.idle_since.is_some_and(|since| now.at.since_ms(since) >= MAX_IDLE_MS);
         let tasks = tasks.len();
         let changed = (!self.matched_steps.insert(key.step)).then_some(changed);
-        let requirements = Requirements::new(step, &service, &mut self.interference);
+        let backfill = self.backfill(key.step);
+        let requirements = Requirements::new(step, &service, &mut self.interference).with_backfill(backfill);
         if step.gang {
             self.place_gang(&spec, &requirements, &waiting, tasks, now.at);
         } else {
@@ -183,13 +201,19 @@
         let has_waiting = self.jobs[&id].progress.occurrences[occurrence as usize][step_index as usize]
             .iter()
             .any(|task| task.state == TaskState::Waiting);
+        let has_assigned = self.jobs[&id].assigned > assigned;
         if !has_waiting {
             self.ready.remove(key);
             self.matched_steps.remove(&key.step);
-        } else if self.jobs[&id].assigned > assigned {
+        } else if has_assigned {
             // The rest of a job that has begun is more urgent than before.
             self.refresh_job(id, now);
         }
+        let (background, priority) = (step.background, self.settings(&spec).priority);
+        let needed = committed(step.resources, background);
+        let is_constrained = step.gang || step.label.is_some() || step.per_host.is_some();
+        let step = key.step;
+        Some(Turn { step, service, priority, background, needed, is_constrained, has_assigned, has_waiting })
     }
 
     /// Assigns the tasks of a step one by one, each to the best of the `changed` hosts, or of all hosts if that is
@@ -278,6 +302,11 @@
             return None;
         }
         let Requirements { step, image, .. } = *requirements;
+        if let Some(reservation) = &host.reservation
+            && !reservation.allows(requirements.backfill, &committed(step.resources, step.background), now)
+        {
+            return None;
+        }
         let mut fit = BackgroundFit::default();
         if step.background {
             fit = host.background_fit(step, image, &self.interference);
@@ -424,6 +453,7 @@
         let checkpoint = progress.checkpoint.clone();
         host.record_assignment(on_trial, now);
         self.record_run(task, run, &name, false, now);
+        self.use_reserved_room(task, step, &name, now);
         self.changed.insert(task.job);
         if on_trial {
             let holder = holder(task, step);
--- a/crates/core/src/jobs/scheduler/trials.rs
+++ b/crates/core/src/jobs/scheduler/trials.rs
@@ -179,7 +179,7 @@
 
     /// Releases the hosts that are set aside for tasks that do not wait for them any more, and matches those again on
     /// which a trial may begin now. Linear in the number of hosts and in that of waiting tasks on trial.
-    pub(super) fn check_reservations(&mut self, now: TimeMs) {
+    pub(super) fn check_trial_hosts(&mut self, now: TimeMs) {
         let mut waits = std::mem::take(&mut self.trial_waits);
         waits.retain(|task, _| self.has_turn(task));
         self.trial_waits = waits;
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -5,7 +5,8 @@
 
 use fescuelead_core::{
     jobs::{
-        Batch, CountedCrash, Effect, HostName, JobId, Phase, RunOutcome, Scheduler, StartCheck, run_times::SlowRun,
+        Batch, CountedCrash, Effect, HostName, JobId, Phase, ReservationChange, RunOutcome, Scheduler, StartCheck,
+        StepRef, run_times::SlowRun,
     },
     units::TimeMs,
 };
@@ -135,6 +136,7 @@
         }
         leader.send_pair_tables();
         leader.report_slow_runs();
+        leader.report_reservations();
         leader.set_gauges();
         if leader.pending_batch.is_none() {
             leader.append_next();
@@ -472,6 +474,20 @@
         }
     }
 
+    /// Logs reservations of room that were made or have ended.
+    fn report_reservations(&mut self) {
+        for change in self.scheduler.take_reservation_changes() {
+            match change {
+                ReservationChange::Made { step: StepRef { job, occurrence, step }, hosts, start_in_ms } => log::info!(
+                    "room reserved: job={job} occurrence={occurrence} step={step} hosts={hosts} start_in_ms={start_in_ms}"
+                ),
+                ReservationChange::Ended { step: StepRef { job, occurrence, step }, held_ms } => {
+                    log::info!("reservation ended: job={job} occurrence={occurrence} step={step} held_ms={held_ms}")
+                }
+            }
+        }
+    }
+
     /// Logs runs that have become slow for their steps, and sets the gauges of run times.
     fn report_slow_runs(&mut self) {
         let Some(slow) = self.scheduler.take_slow_runs(self.entry.config.clock.moment()) else { return };
@@ -492,6 +508,9 @@
     fn set_gauges(&self) {
         let metrics = &self.entry.config.metrics;
         metrics.waiting_steps.set(self.scheduler.waiting_steps() as i64);
+        let (hosts, steps) = self.scheduler.reservation_counts();
+        metrics.reserved_hosts.set(hosts as i64);
+        metrics.reserving_steps.set(steps as i64);
         metrics.hosts_connected.set(self.scheduler.connected_hosts() as i64);
         metrics.unreported_runs.set(self.scheduler.unreported_runs() as i64);
     }
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -92,6 +92,8 @@
     pub waiting_steps: Gauge,
     pub progress_reports: Counter,
     pub slow_runs: Gauge,
+    pub reserved_hosts: Gauge,
+    pub reserving_steps: Gauge,
     pub run_time_error_percent: Family<PredictionLabel, Gauge>,
     pub hosts_connected: Gauge,
     pub unreported_runs: Gauge,
@@ -122,6 +124,12 @@
         );
         r.register("waiting_steps", "Steps with tasks that wait for a host", self.waiting_steps.clone());
         r.register("progress_reports", "Reported changes of the progress of runs", self.progress_reports.clone());
+        r.register(
+            "reserved_hosts",
+            "Hosts with room reserved for a step that was passed over",
+            self.reserved_hosts.clone(),
+        );
+        r.register("reserving_steps", "Steps that hold reservations of room", self.reserving_steps.clone());
         r.register("slow_runs", "Runs that are slow for their steps", self.slow_runs.clone());
         r.register(
             "run_time_error_percent",
