--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -30,6 +30,7 @@
 mod moving;
 mod order;
 mod placing;
+mod reservations;
 mod runs;
 mod sessions;
 mod started;
@@ -39,7 +40,10 @@
 pub(super) use crashes::QUIET_MS;
 pub use crashes::{CountedCrash, SUSPECT_AGE_MS, TRIAL_MS};
 use departures::DepartingWork;
-use order::{MeanWork, ReadyKey, StepRef, Urgency};
+pub use order::StepRef;
+use order::{Durations, MeanWork, ReadyKey, Urgency};
+pub(super) use reservations::RoomReservation;
+pub use reservations::{MAX_BACKFILL_MS, MAX_PASSED_OVER_MS, ReservationChange};
 pub use sessions::StartCheck;
 pub use suspicions::Suspicion;
 
@@ -205,6 +209,12 @@
     /// When hosts are next searched for tasks on hosts whose endpoints end as planned.
     search_targets_at: TimeMs,
     mean_work: MeanWork,
+    /// Since when waiting steps have been passed over by less urgent ones.
+    passed_over: BTreeMap<StepRef, TimeMs>,
+    /// The steps that hold reservations of room, and since when.
+    reservations: BTreeMap<StepRef, TimeMs>,
+    /// Changes of [`Self::reservations`] that the caller has not taken.
+    reservation_changes: Vec<ReservationChange>,
     run_times: RunTimes,
     /// When slow runs are next searched for.
     slow_runs_at: TimeMs,
@@ -245,6 +255,9 @@
             move_at: now.at,
             search_targets_at: now.at,
             mean_work: MeanWork::default(),
+            passed_over: BTreeMap::new(),
+            reservations: BTreeMap::new(),
+            reservation_changes: Vec::new(),
             run_times: RunTimes::default(),
             slow_runs_at: now.at,
             trial_waits: BTreeMap::new(),
@@ -421,7 +434,7 @@
         }
         self.store_due_starts(now);
         self.end_trials(now.at);
-        self.check_reservations(now.at);
+        self.check_trial_hosts(now.at);
         self.place_moved(now);
         self.move_departing(DepartingWork::LongRunning, now.at);
         self.place(now);
@@ -499,7 +512,8 @@
                     self.due.insert((due, id));
                     continue;
                 }
-                let urgency = Urgency::new(&job.spec, &settings, occurrence, steps, &self.mean_work);
+                let durations = Durations { job: id, run_times: &self.run_times };
+                let urgency = Urgency::new(&job.spec, &settings, occurrence, steps, &self.mean_work, &durations);
                 for (step, tasks) in (0..).zip(steps) {
                     let has_waiting = tasks.iter().any(|task| task.state == TaskState::Waiting);
                     let after = &job.spec.steps[step as usize].after;
