--- a/crates/core/src/jobs/scheduler/reservations.rs
+++ b/crates/core/src/jobs/scheduler/reservations.rs
@@ -308,7 +308,13 @@
                     self.reservation_changes.push(ReservationChange::Made { step, hosts, start_in_ms });
                 }
                 (Some(_), Some(_)) => {}
-                (None, _) => self.end_reservation(&step, now),
+                (None, _) => {
+                    self.end_reservation(&step, now);
+                    // No host will have room as far as is known, so that the next attempt waits as long as the first one did.
+                    if start_at.is_some() {
+                        self.passed_over.insert(step, now);
+                    }
+                }
             }
             holders += usize::from(start_at.flatten().is_some());
         }
--- a/crates/core/tests/reservations.rs
+++ b/crates/core/tests/reservations.rs
@@ -172,7 +172,7 @@
 
     fn assert_within_capacity(&self) {
         let mut used: BTreeMap<&String, Resources> = BTreeMap::new();
-        for ((host, task), _) in &self.runs {
+        for (host, task) in self.runs.keys() {
             let spec = self.stored.job(task.job).and_then(|copy| copy.spec.clone()).expect("a stored job");
             let step = &spec.steps[task.step as usize];
             let cpu_milli = if step.background { 0 } else { step.resources.cpu_milli };
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -478,11 +478,13 @@
     fn report_reservations(&mut self) {
         for change in self.scheduler.take_reservation_changes() {
             match change {
-                ReservationChange::Made { step: StepRef { job, occurrence, step }, hosts, start_in_ms } => log::info!(
-                    "room reserved: job={job} occurrence={occurrence} step={step} hosts={hosts} start_in_ms={start_in_ms}"
-                ),
+                ReservationChange::Made { step: StepRef { job, occurrence, step }, hosts, start_in_ms } => {
+                    log::info!(
+                        "room reserved: job={job} occurrence={occurrence} step={step} hosts={hosts} start_in_ms={start_in_ms}"
+                    );
+                }
                 ReservationChange::Ended { step: StepRef { job, occurrence, step }, held_ms } => {
-                    log::info!("reservation ended: job={job} occurrence={occurrence} step={step} held_ms={held_ms}")
+                    log::info!("reservation ended: job={job} occurrence={occurrence} step={step} held_ms={held_ms}");
                 }
             }
         }
