--- a/crates/core/src/jobs/pace.rs
+++ b/crates/core/src/jobs/pace.rs
@@ -3,9 +3,9 @@
 
 The increase of a tail latency by background tasks is estimated from their processor use and from the table of pairs
 that the leader has learned (see [`image_interference`](super::image_interference)). The remainder is the baseline
-latency of the serving task, which follows its own load; tasks of one image have different loads. [`cost`] weighs what
-background tasks lose by running slower against the serving tasks that they would push above their targets. The table can be
-wrong, so [`guard`] limits how long a latency stays above its target without using it.
+latency of the serving task, which follows its own load; tasks of one image have different loads. The module `cost`
+weighs what background tasks lose by running slower against the serving tasks that they would push above their targets.
+The table can be wrong, so the module `guard` limits how long a latency stays above its target without using it.
 */
 
 use std::collections::BTreeMap;
--- a/crates/core/src/jobs/run_times.rs
+++ b/crates/core/src/jobs/run_times.rs
@@ -240,7 +240,7 @@
 /// The run times of tasks that end, and the progress of those that run. Long-running tasks have none.
 ///
 /// Takes constant space for each run that may exist, for each step with a task that is done and one that is not, for each
-/// host, and for at most [`MAX_CLASSES`] images and as many queues.
+/// host, and for at most `MAX_CLASSES` images and as many queues.
 #[derive(Debug, Clone, Default)]
 pub struct RunTimes {
     images: BTreeMap<String, ClassTimes>,
@@ -377,7 +377,7 @@
         }
     }
 
-    /// The estimate, or the expected duration if it differs from that by more than [`MAX_TRUSTED_ERROR_PERCENT`]. For decisions
+    /// The estimate, or the expected duration if it differs from that by more than `MAX_TRUSTED_ERROR_PERCENT`. For decisions
     /// that should not change where estimates are good. Logarithmic time.
     pub fn corrected_estimate_ms(&self, task: &TaskRef, shape: Shape<'_>) -> u64 {
         let expected_ms = self.expected_duration(task, shape).duration_ms;
@@ -405,7 +405,7 @@
     }
 
     /// Whether the run of a task is slow for its step: it has taken as long as the median of the tasks of its step that are
-    /// done, and by its progress will take more than [`SLOW_MEDIANS`] of it; or it has taken that long already. Returns what
+    /// done, and by its progress will take more than `SLOW_MEDIANS` of it; or it has taken that long already. Returns what
     /// shows it. Logarithmic time.
     pub fn slow_run(&self, task: &TaskRef, now: TimeMs) -> Option<SlowRun> {
         let run = self.runs.get(task)?;
--- a/crates/core/src/jobs/scheduler/expectations.rs
+++ b/crates/core/src/jobs/scheduler/expectations.rs
@@ -52,7 +52,7 @@
     }
 
     /// All runs that are slow for their steps, each with whether an earlier call has returned it; `None` if the last search
-    /// was less than [`SLOW_RUNS_INTERVAL_MS`] ago. Linear in the number of runs, with a logarithmic factor.
+    /// was less than `SLOW_RUNS_INTERVAL_MS` ago. Linear in the number of runs, with a logarithmic factor.
     pub fn take_slow_runs(&mut self, now: Moment) -> Option<Vec<(SlowRun, bool)>> {
         if now.at < self.slow_runs_at {
             return None;
