--- a/crates/fleet/tests/departures.rs
+++ b/crates/fleet/tests/departures.rs
@@ -7,7 +7,7 @@
 use fescuelead_core::jobs::{HostInfo, TaskRef};
 use fescuelead_fleet::{
     agent::Agent,
-    message::{ToAgent, ToLeader},
+    message::{Start, ToAgent, ToLeader},
 };
 use rstest::rstest;
 use support::{
@@ -366,3 +366,37 @@
     })
     .await;
 }
+
+/// Guards against runs that end together with an endpoint which refuses connections as soon as it has deregistered, so that a stop
+/// at that moment comes too late and their tasks wait for a lease, or run again although they had succeeded. Serving tasks are
+/// stopped ahead of the stated end, tasks that may still end on their own at the stated end.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn runs_are_stopped_before_an_endpoint_ends_as_it_has_stated(
+    #[values(2_000, 5_000, 9_000)] grant_ms: u64,
+    #[values(2_000, 3_500)] remaining_ms: u64,
+) {
+    run_local(async {
+        let mut site = Site::with_grant(grant_ms).await;
+        site.endpoint.stop_ms.set(STOP_MS);
+        let serving = Start { tail_target_ms: Some(50), ..start_order(OTHER, 1) };
+        site.leader.send(ToAgent::Start(serving)).await;
+        site.leader.receive_for(300).await;
+        assert!(site.endpoint.is_running(OTHER, 1));
+        let draining = HostInfo { draining: true, remaining_ms: Some(remaining_ms), ..info() };
+        site.agent.handle_announcement(Some(1), draining);
+        let received = site.leader.receive_for(remaining_ms - 1_300).await;
+        assert!(!received.iter().any(|message| matches!(message, ToLeader::Ended { .. })), "{received:?}");
+        let received = site.leader.receive_for(1_300).await;
+        let has_ended = |message: &ToLeader| matches!(message, ToLeader::Ended { ended, .. } if ended.task == OTHER);
+        assert!(received.iter().any(has_ended), "no proof of the end of the serving task: {received:?}");
+        assert!(site.endpoint.is_running(TASK, 1), "what may finish on its own is left alone until the stated end");
+        let received = site.leader.receive_for(WAIT_MS + 250).await;
+        assert!(received.iter().any(proves_end), "no proof of the end: {received:?}");
+        site.refuse_connections();
+        site.agent.handle_departure(Some(1));
+        let left = site.leader.receive_for(1_000).await;
+        assert!(!left.iter().any(|message| matches!(message, ToLeader::Ended { .. })), "{left:?}");
+    })
+    .await;
+}
