Free what clients submitted once their jobs have ended

Every entry and the leader kept the submission and the progress of each job that was ever accepted, and the store did as well, so that a process that started later read all of it again.

A replica now holds the records of live jobs only. The scheduler forgets ended jobs when it hands over their last record. A follower that is behind no longer pauses between two reads: at one record of 200 KB a read it could not keep up.

--- a/crates/core/src/jobs/progress.rs
+++ b/crates/core/src/jobs/progress.rs
@@ -160,6 +160,16 @@
             .is_some_and(|tasks| tasks.iter().all(|task| task.state == TaskState::Done))
     }
 
+    /// Whether a run of any task may exist.
+    pub fn has_assigned_tasks(&self) -> bool {
+        self.occurrences.iter().flatten().flatten().any(|task| matches!(task.state, TaskState::Assigned { .. }))
+    }
+
+    /// Drops the checkpoints, which a job that has ended does not need.
+    pub fn drop_checkpoints(&mut self) {
+        self.occurrences.iter_mut().flatten().flatten().for_each(|task| task.checkpoint = None);
+    }
+
     /// Whether all tasks of all occurrences have succeeded.
     pub fn all_done(&self) -> bool {
         self.occurrences.iter().flatten().flatten().all(|task| task.state == TaskState::Done)
--- a/crates/core/src/jobs/scheduler.rs
+++ b/crates/core/src/jobs/scheduler.rs
@@ -40,8 +40,9 @@
 pub(super) use crashes::QUIET_MS;
 pub use crashes::{CountedCrash, SUSPECT_AGE_MS, TRIAL_MS};
 use departures::DepartingWork;
+pub(super) use order::MeanWork;
 pub use order::StepRef;
-use order::{Durations, MeanWork, ReadyKey, Urgency};
+use order::{Durations, ReadyKey, Urgency};
 pub(super) use reservations::RoomReservation;
 pub use reservations::{MAX_BACKFILL_MS, MAX_PASSED_OVER_MS, ReservationChange};
 pub use sessions::StartCheck;
@@ -254,7 +255,7 @@
             send_pairs_at: now.at,
             move_at: now.at,
             search_targets_at: now.at,
-            mean_work: MeanWork::default(),
+            mean_work: replica.mean_work().clone(),
             passed_over: BTreeMap::new(),
             reservations: BTreeMap::new(),
             reservation_changes: Vec::new(),
@@ -300,7 +301,6 @@
             }
         }
         self.accepted += 1;
-        self.mean_work.add(&spec);
         let runs = assigned_runs(id, &progress);
         let assigned = runs.len();
         let job = Job {
@@ -337,6 +337,7 @@
     /// Handles a client's submission. A job with a known id is not changed.
     pub fn job_submitted(&mut self, id: JobId, spec: Arc<JobSpec>, now: Moment) {
         if !self.jobs.contains_key(&id) {
+            self.mean_work.add(&spec);
             self.restore(id, spec, None, Link::Lost, now);
         }
     }
@@ -465,15 +466,40 @@
         !self.changed.is_empty() || !self.effects.is_empty()
     }
 
-    /// Returns the jobs changed since the last call, and the effects that depend on their records.
+    /// Returns the jobs changed since the last call, and the effects that depend on their records. Forgets those that have
+    /// ended and of which no run may exist.
     pub fn take_batch(&mut self) -> Batch {
         let changed = std::mem::take(&mut self.changed);
         self.unstored_starts.retain(|id, _| !changed.contains(id));
-        let records =
-            changed.into_iter().filter_map(|id| self.jobs.get(&id).map(|job| (id, job.progress.clone()))).collect();
+        let mut records = Vec::with_capacity(changed.len());
+        for id in changed {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            if job.progress.phase == Phase::Active || job.assigned > 0 {
+                records.push((id, job.progress.clone()));
+            } else if let Some(job) = self.forget_job(id) {
+                records.push((id, job.progress));
+            }
+        }
         Batch { records, effects: std::mem::take(&mut self.effects) }
     }
 
+    /// Removes all state of a job that has ended.
+    fn forget_job(&mut self, id: JobId) -> Option<Job> {
+        let mut job = self.jobs.remove(&id)?;
+        job.progress.drop_checkpoints();
+        for occurrence in 0..job.spec.occurrences() {
+            if let Some(due) = job.spec.due_unix_ms(occurrence) {
+                self.due.remove(&(due, id));
+            }
+        }
+        self.run_times.forget_job(id);
+        let steps = |step| StepRef { job: id, occurrence: step, step };
+        self.matched_steps.extract_if(steps(0)..=steps(u32::MAX), |_| true).for_each(drop);
+        let tasks = |index| TaskRef { job: id, occurrence: index, step: index, index };
+        self.trial_waits.extract_if(tasks(0)..=tasks(u32::MAX), |_, _| true).for_each(drop);
+        Some(job)
+    }
+
     /// Marks a host as possibly able to run more tasks.
     fn host_changed(&mut self, name: &HostName) {
         self.changed_hosts.insert(name.clone());
@@ -484,6 +510,7 @@
     fn end_job(&mut self, id: JobId, phase: Phase, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.progress.phase = phase;
+        job.spec = job.spec.clone().without_payload();
         self.run_times.forget_job(id);
         for (task, host, _, run) in assigned_runs(id, &job.progress) {
             self.effects.push(Effect::Stop { host, task, run });
--- a/crates/core/src/jobs/scheduler/order.rs
+++ b/crates/core/src/jobs/scheduler/order.rs
@@ -139,7 +139,7 @@
 
 /// The mean work of the jobs of each queue, in the unit of [`JobSpec::work`].
 #[derive(Debug, Clone, Default)]
-pub(super) struct MeanWork {
+pub(in crate::jobs) struct MeanWork {
     /// The sum of the work of a queue's jobs and their number.
     queues: BTreeMap<String, (u64, u64)>,
 }
--- a/crates/core/src/jobs/spec.rs
+++ b/crates/core/src/jobs/spec.rs
@@ -1,6 +1,6 @@
 //! Job specifications: the steps of a job, each with a number of identical tasks.
 
-use std::{fmt, ops::RangeInclusive, str::FromStr};
+use std::{fmt, ops::RangeInclusive, str::FromStr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -222,6 +222,14 @@
 }
 
 impl JobSpec {
+    /// The same job without its payload, which only starts need.
+    pub fn without_payload(self: Arc<Self>) -> Arc<Self> {
+        if self.payload.is_empty() {
+            return self;
+        }
+        Arc::new(Self { payload: String::new(), ..Self::clone(&self) })
+    }
+
     /// The estimated work of an occurrence, in milliseconds of a core.
     pub fn work(&self) -> u64 {
         self.steps
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -96,6 +96,7 @@
 #[derive(Default)]
 struct State {
     replica: Replica,
+    retention: Retention,
     early_cancellations: EarlyCancellations,
     /// The offset of the next record to read from each stream; absent until the stream was read for the first time.
     next: BTreeMap<Stream, u64>,
@@ -137,21 +138,30 @@
 
 mod cancellations;
 mod requests;
+mod retention;
 mod views;
 
 use cancellations::EarlyCancellations;
 use requests::Outage;
 pub use requests::RequestError;
+use retention::Retention;
+pub use retention::{DEFAULT_STATUS_MS, JobLimits};
 pub use views::MAX_COUNT_AGE_MS;
 use views::Views;
 
 impl Entry {
     /// Creates an entry, which does nothing until [`Entry::run`] is called.
     pub fn new(config: EntryConfig, store: Box<dyn Store>) -> Rc<Self> {
+        Self::with_job_limits(config, store, JobLimits::default())
+    }
+
+    /// Creates an entry like [`Entry::new`], with other limits for what is kept of jobs.
+    pub fn with_job_limits(config: EntryConfig, store: Box<dyn Store>, job_limits: JobLimits) -> Rc<Self> {
+        let state = State { retention: Retention::new(job_limits), ..State::default() };
         Rc::new(Self {
             config,
             store,
-            state: RefCell::default(),
+            state: RefCell::new(state),
             leading: Cell::new(false),
             leading_changed: Notify::new(),
             outage: Cell::new(None),
@@ -170,6 +180,7 @@
         }
         spawn_local(self.clone().probe_store());
         spawn_local(self.clone().remove_early_cancellations());
+        spawn_local(self.clone().remove_ended_jobs());
         self.clone().run_election(stop).await;
     }
 
@@ -258,8 +269,11 @@
                     // The store has waited for records in vain, so the copy was complete until it answered.
                     let waited_ms = if from.is_some() && page.records.is_empty() { READ_WAIT_MS } else { 0 };
                     let read_at = sent_at.plus_ms(waited_ms).min(self.config.clock.now());
+                    let at_end = page.at_end;
                     self.apply(stream, from, page, read_at);
                     let spacing_ms = match stream {
+                        // Further records are in the store already.
+                        _ if !at_end => 0,
                         Stream::Progress => PROGRESS_POLL_MS,
                         Stream::Jobs if !self.leading.get() => JOBS_POLL_MS,
                         _ => 0,
@@ -323,6 +337,7 @@
             state.early_cancellations.read_anew();
         }
         let mut listed_zones_out = BTreeSet::new();
+        let mut listed_jobs = BTreeSet::new();
         for record in &page.records {
             match stream {
                 Stream::Operator => match (self.config.decode_operator_record)(record) {
@@ -339,14 +354,24 @@
                     Ok(None) => {}
                     Err(error) => self.skip_record(stream, &record.key, &error),
                 },
-                Stream::Jobs | Stream::Progress => match JobRecord::decode(record) {
-                    Ok(decoded) => state.apply_job_record(decoded, self.config.clock.now()),
-                    Err(error) => self.skip_record(stream, &record.key, &error),
-                },
+                Stream::Jobs | Stream::Progress => {
+                    if from.is_none() {
+                        listed_jobs.extend(JobRecord::described_job(record));
+                    }
+                    match JobRecord::decode(record) {
+                        Ok(decoded) => state.apply_job_record(decoded, self.config.clock.now()),
+                        Err(error) => self.skip_record(stream, &record.key, &error),
+                    }
+                }
             }
         }
-        if stream == Stream::Operator && from.is_none() {
-            state.restore_unlisted_zones(&listed_zones_out);
+        if from.is_none() {
+            match stream {
+                Stream::Operator => state.restore_unlisted_zones(&listed_zones_out),
+                Stream::Jobs => state.replica.retain_submissions(&listed_jobs),
+                Stream::Progress => state.replica.retain_progress(&listed_jobs),
+                Stream::Hosts => {}
+            }
         }
         state.next.insert(stream, page.next);
         if page.at_end {
@@ -558,8 +583,13 @@
         match record {
             JobRecord::Submitted(job, spec) => self.apply_submission(job, *spec),
             JobRecord::Cancelled(job) => self.apply_cancellation(job, now),
-            JobRecord::CancellationRemoved(job) => self.early_cancellations.removed(job),
-            JobRecord::Progressed(job, progress) => self.replica.apply_progress(job, progress),
+            JobRecord::SubmissionRemoved(job) => self.replica.apply_submission_removal(job),
+            JobRecord::CancellationRemoved(job) => {
+                self.early_cancellations.removed(job);
+                self.replica.apply_cancellation_removal(job);
+            }
+            JobRecord::Progressed(job, progress) => self.apply_progress(job, progress, now),
+            JobRecord::ProgressRemoved(job) => self.forget_ended(job),
             JobRecord::Leader(leader) => {
                 if leader.epoch > self.epoch {
                     log::info!("new leader: leader={} epoch={}", leader.name, leader.epoch);
--- a/crates/fleet/src/entry/cancellations.rs
+++ b/crates/fleet/src/entry/cancellations.rs
@@ -12,7 +12,7 @@
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{JobId, JobStatus, replica::ReplicatedJob},
+    jobs::{JobId, JobStatus},
     units::TimeMs,
 };
 use tokio::time::sleep;
@@ -109,12 +109,13 @@
         let is_stored = || {
             let state = self.state.borrow();
             let copy = state.replica.job(job).filter(|copy| copy.spec.is_some());
-            copy.is_some_and(|copy| copy.cancelled) || state.early_cancellations.covers(job, now)
+            let is_cancelled = copy.is_some_and(|copy| copy.cancelled) || state.replica.has_ended(job);
+            is_cancelled || state.early_cancellations.covers(job, now)
         };
         self.append_request(JobRecord::cancelled(job), deadline, is_stored).await?;
         let mut state = self.state.borrow_mut();
         state.apply_cancellation(job, self.config.clock.now());
-        Ok(state.replica.job(job).and_then(ReplicatedJob::status).is_some())
+        Ok(state.replica.is_submitted(job))
     }
 
     /// Whether the cancellation of an unknown job is stored already.
@@ -143,7 +144,9 @@
             let records: Vec<Record> = {
                 let state = &mut *self.state.borrow_mut();
                 for job in state.early_cancellations.forget_removed(now) {
-                    state.replica.remove(job);
+                    if !state.replica.has_ended(job) {
+                        state.replica.remove(job);
+                    }
                 }
                 self.config.metrics.early_cancellations.set(state.early_cancellations.by_job.len() as i64);
                 state
@@ -169,7 +172,7 @@
         if self.replica.apply_cancellation(job) {
             self.notify_leader(LeaderEvent::Cancelled(job));
         }
-        if self.replica.job(job).is_none_or(|copy| copy.spec.is_none()) {
+        if !self.replica.is_submitted(job) {
             self.early_cancellations.add(job, now);
         }
     }
--- a/crates/fleet/src/entry/requests.rs
+++ b/crates/fleet/src/entry/requests.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{JobId, JobSpec, JobStatus, replica::ReplicatedJob},
+    jobs::{JobId, JobSpec, JobStatus},
     units::TimeMs,
 };
 use tokio::time::sleep;
@@ -49,11 +49,11 @@
     ///
     /// Fails if the store has not confirmed the job by `deadline`, or at once during an outage of the store.
     pub async fn submit(&self, job: JobId, spec: JobSpec, deadline: TimeMs) -> Result<(), RequestError> {
-        if self.state.borrow().replica.job(job).is_some_and(|copy| copy.spec.is_some()) {
+        if self.state.borrow().replica.is_submitted(job) {
             return Ok(());
         }
         let record = JobRecord::submitted(job, &spec).map_err(|e| RequestError::NotDone(e.to_string()))?;
-        let is_stored = || self.state.borrow().replica.job(job).is_some_and(|copy| copy.spec.is_some());
+        let is_stored = || self.state.borrow().replica.is_submitted(job);
         let stored = self.append_request(record, deadline, is_stored).await;
         self.track_unknown_outcome(job, stored)?;
         let mut state = self.state.borrow_mut();
@@ -91,13 +91,18 @@
     ///
     /// Fails if the job is unknown here and the store cannot be read.
     pub async fn status(&self, job: JobId) -> Result<Option<JobStatus>, RequestError> {
-        let known = self.state.borrow().replica.job(job).and_then(ReplicatedJob::status);
-        if known.is_some() {
-            return Ok(known);
+        // Another entry may have accepted the job since the last read. If the job has ended since as well, its submission was
+        // removed, and its end can be read from the leader's records.
+        for stream in [Stream::Jobs, Stream::Progress] {
+            let known = self.state.borrow().replica.status(job);
+            if known.is_some() {
+                return Ok(known);
+            }
+            if stream == Stream::Jobs || !self.leading.get() {
+                self.catch_up(stream).await.map_err(|e| RequestError::NotDone(e.to_string()))?;
+            }
         }
-        // Another entry may have accepted the job since the last read.
-        self.catch_up(Stream::Jobs).await.map_err(|e| RequestError::NotDone(e.to_string()))?;
-        Ok(self.state.borrow().replica.job(job).and_then(ReplicatedJob::status))
+        Ok(self.state.borrow().replica.status(job))
     }
 
     /// Reads the store during an outage until a read succeeds, which ends the outage. Client requests are not used as
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -69,6 +69,8 @@
     sequence: u64,
     /// The batch whose records are being stored. Its effects are carried out afterwards.
     pending_batch: Option<Batch>,
+    /// The jobs whose progress is being removed, which are forgotten afterwards.
+    pending_removals: Vec<JobId>,
     append_results: mpsc::UnboundedSender<Result<Appended, StoreError>>,
     /// The latest task that stores records. It is aborted with the leader, as it would otherwise repeat the append
     /// until the store is back.
@@ -120,6 +122,7 @@
             outcome = append_results.recv() => {
                 let Some(Ok(appended)) = outcome else { break };
                 entry.progress_stored(appended.next, appended.sent_at);
+                entry.forget_jobs(&std::mem::take(&mut leader.pending_removals));
                 if let Some(batch) = leader.pending_batch.take() {
                     leader.apply_batch(batch);
                 }
@@ -300,6 +303,7 @@
             session_events,
             sequence: FIRST_SEQUENCE,
             pending_batch: None,
+            pending_removals: Vec::new(),
             append_results,
             append_task: None,
             // Makes the next append include a heartbeat at once.
@@ -316,11 +320,13 @@
         if batch.records.is_empty() && !heartbeat_due {
             return self.apply_batch(batch);
         }
+        let mut appends =
+            encode(&batch, heartbeat_due.then(|| self.leadership.record(false)), self.entry.store.max_record_bytes());
         if heartbeat_due {
             self.heartbeat_at = now;
+            self.pending_removals = self.entry.expired_jobs();
+            appends[0].extend(self.pending_removals.iter().copied().map(JobRecord::progress_removed));
         }
-        let heartbeat = heartbeat_due.then(|| self.leadership.record(false));
-        let appends = encode(&batch, heartbeat, self.entry.store.max_record_bytes());
         let first = self.sequence + 1;
         self.sequence += appends.len() as u64;
         let (entry, leadership, append_results) =
@@ -542,14 +548,12 @@
     /// Applies a batch whose records are stored: updates the replica and sends the effects to the hosts.
     fn apply_batch(&mut self, batch: Batch) {
         let Batch { records, effects } = batch;
-        self.entry.with_replica(|replica| {
-            for (job, progress) in records {
-                if progress.phase != Phase::Active {
-                    log::info!("job ended: job={job} phase={:?}", progress.phase);
-                }
-                replica.apply_progress(job, progress);
+        for (job, progress) in records {
+            if progress.phase != Phase::Active {
+                log::info!("job ended: job={job} phase={:?}", progress.phase);
             }
-        });
+            self.entry.apply_stored_progress(job, progress);
+        }
         for effect in effects {
             let (host, order) = match effect {
                 Effect::Start { host, incarnation, task, run, spec, checkpoint, reported } => {
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -138,6 +138,7 @@
     pub config_version: Gauge,
     pub records_skipped: Counter,
     pub early_cancellations: Gauge,
+    pub ended_jobs: Gauge,
     pub server: ServerMetrics,
 }
 
@@ -193,6 +194,7 @@
             "Cancelled jobs of which no submission is known",
             self.early_cancellations.clone(),
         );
+        r.register("ended_jobs", "Jobs that have ended and of which only the status is kept", self.ended_jobs.clone());
         r.register("records_skipped", "Records of the store that could not be used", self.records_skipped.clone());
         self.server.register(&mut r);
         encode(&r)
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -147,13 +147,17 @@
     Submitted(JobId, Box<JobSpec>),
     /// A client cancelled a job.
     Cancelled(JobId),
-    /// The record of a cancellation was removed, because its job was not submitted.
+    /// The record of a submission was removed, because its job has ended.
+    SubmissionRemoved(JobId),
+    /// The record of a cancellation was removed, because its job has ended or was not submitted.
     CancellationRemoved(JobId),
     /// The leader changed the progress of a job.
     Progressed(JobId, JobProgress),
+    /// The leader removed the progress of a job that ended long ago.
+    ProgressRemoved(JobId),
     /// The leader sent a heartbeat or resigned.
     Leader(LeaderRecord),
-    /// The record has no value, because its key was removed.
+    /// The record of another key was removed.
     Removed,
 }
 
@@ -185,6 +189,21 @@
         Record { key: format!("{CANCELLED}{job}"), value: None }
     }
 
+    /// Encodes the removal of a submission for [`Stream::Jobs`].
+    pub fn submission_removed(job: JobId) -> Record {
+        Record { key: format!("{SUBMITTED}{job}"), value: None }
+    }
+
+    /// Encodes the removal of the progress of a job for [`Stream::Progress`].
+    pub fn progress_removed(job: JobId) -> Record {
+        Record { key: job.to_string(), value: None }
+    }
+
+    /// The job whose submission or progress a record of [`Stream::Jobs`] or [`Stream::Progress`] holds, by its key.
+    pub fn described_job(record: &Record) -> Option<JobId> {
+        record.key.strip_prefix(SUBMITTED).unwrap_or(&record.key).parse().ok()
+    }
+
     /// Encodes the progress of a job for [`Stream::Progress`] in a record of at most `max_bytes` bytes, see
     /// [`Store::max_record_bytes`]. Checkpoints are left out if it would be larger.
     ///
@@ -222,12 +241,15 @@
     /// Fails if this version does not know the key or cannot decode the value.
     pub fn decode(record: &Record) -> Result<Self, RecordError> {
         let error = |message: &dyn ToString| RecordError { key: record.key.clone(), message: message.to_string() };
-        let cancelled = record.key.strip_prefix(CANCELLED);
+        let (submitted, cancelled) = (record.key.strip_prefix(SUBMITTED), record.key.strip_prefix(CANCELLED));
         let Some(value) = &record.value else {
-            return cancelled
-                .map_or(Ok(Self::Removed), |job| job.parse().map(Self::CancellationRemoved).map_err(|e| error(&e)));
+            return match (submitted, cancelled) {
+                (Some(job), _) => job.parse().map(Self::SubmissionRemoved).map_err(|e| error(&e)),
+                (_, Some(job)) => job.parse().map(Self::CancellationRemoved).map_err(|e| error(&e)),
+                _ => Ok(record.key.parse().map_or(Self::Removed, Self::ProgressRemoved)),
+            };
         };
-        if let Some(job) = record.key.strip_prefix(SUBMITTED) {
+        if let Some(job) = submitted {
             let job = job.parse().map_err(|e| error(&e))?;
             let spec: Box<JobSpec> = postcard::from_bytes(value).map_err(|e| error(&e))?;
             // Entries append only valid jobs. State is allocated for each task that a record states.
