Give accepted jobs a budget of memory

Callers saw their connections break off when a process ended for its memory: jobs that had not ended yet had no bound. An entry accepted whatever was appended to the store, and every entry holds all of it; a job of 66 bytes may have 4,096 tasks, which the leader laid out at once.

An entry now counts the memory of all live and ended jobs in its copy, and what it has under way itself. What does not fit server.job_budget_bytes is refused with 503 and Retry-After before anything is stored. Small jobs have a reserve; what an entry accepts within the second in which the others read it is limited, so that several entries cannot each fill the budget at once. The count follows from the jobs, so no record, restart or change of the leader can make it wrong (docs/design/accepted-jobs.md). The message of a refused count of waiting jobs was reworded, since admission uses the same read.

Evidence: tests/accepted_jobs.rs, what_is_accepted_has_a_budget: 400 jobs by 20 connections, no hosts, bound 16 MiB a process.

--- a/crates/core/src/jobs/replica.rs
+++ b/crates/core/src/jobs/replica.rs
@@ -50,9 +50,22 @@
     pub cancelled: bool,
     /// Whether the store no longer has the submission, because the job has ended.
     submission_removed: bool,
+    /// [`JobSpec::memory_bytes`] of `spec`.
+    memory_bytes: usize,
 }
 
 impl ReplicatedJob {
+    fn set_spec(&mut self, spec: Arc<JobSpec>) {
+        self.memory_bytes = spec.memory_bytes();
+        self.spec = Some(spec);
+    }
+
+    fn drop_payload(&mut self) {
+        if let Some(spec) = self.spec.take() {
+            self.set_spec(spec.without_payload());
+        }
+    }
+
     /// The status reported to clients; `None` until the submission arrives.
     pub fn status(&self) -> Option<JobStatus> {
         self.spec.as_ref()?;
@@ -90,6 +103,8 @@
     stored_cancellations: BTreeSet<JobId>,
     /// The work of all jobs whose submission was applied.
     mean_work: MeanWork,
+    /// The sum of [`ReplicatedJob::memory_bytes`] over the live jobs.
+    live_bytes: usize,
 }
 
 impl Replica {
@@ -109,8 +124,11 @@
         let first = job.spec.is_none();
         if first {
             self.mean_work.add(&spec);
-            let spec = Arc::new(spec);
-            job.spec = Some(if job.cancelled { spec.without_payload() } else { spec });
+            job.set_spec(Arc::new(spec));
+            if job.cancelled {
+                job.drop_payload();
+            }
+            self.live_bytes += job.memory_bytes;
             self.shrink(id);
         }
         first
@@ -131,7 +149,9 @@
             return false;
         }
         let job = self.live.entry(id).or_default();
-        job.spec = job.spec.take().map(JobSpec::without_payload);
+        self.live_bytes -= job.memory_bytes;
+        job.drop_payload();
+        self.live_bytes += job.memory_bytes;
         !std::mem::replace(&mut job.cancelled, true)
     }
 
@@ -158,7 +178,9 @@
             return;
         }
         if progress.has_assigned_tasks() {
-            job.spec = job.spec.take().map(JobSpec::without_payload);
+            self.live_bytes -= job.memory_bytes;
+            job.drop_payload();
+            self.live_bytes += job.memory_bytes;
             return;
         }
         if job.spec.is_some() && !job.submission_removed {
@@ -167,13 +189,17 @@
         if job.cancelled {
             self.stored_cancellations.insert(id);
         }
-        self.live.remove(&id);
+        self.remove_live(id);
         self.ended.insert(id, phase);
     }
 
+    fn remove_live(&mut self, id: JobId) {
+        self.live_bytes -= self.live.remove(&id).map_or(0, |job| job.memory_bytes);
+    }
+
     /// Removes a job whose record has expired.
     pub fn remove(&mut self, id: JobId) {
-        self.live.remove(&id);
+        self.remove_live(id);
         self.ended.remove(&id);
         self.stored_submissions.remove(&id);
         self.stored_cancellations.remove(&id);
@@ -200,7 +226,9 @@
 
     /// Removes the jobs of which the store holds neither submission nor progress any more.
     fn remove_expired(&mut self) {
-        self.live.retain(|_, job| !job.submission_removed || job.progress.is_some());
+        let is_expired = |job: &ReplicatedJob| job.submission_removed && job.progress.is_none();
+        let expired = self.live.extract_if(.., |_, job| is_expired(job));
+        self.live_bytes -= expired.map(|(_, job)| job.memory_bytes).sum::<usize>();
     }
 
     /// The records of a job; `None` if there are none or if only its status is left.
@@ -237,6 +265,12 @@
         self.live.iter().map(|(&id, job)| (id, job))
     }
 
+    /// The memory that a process sets aside for all jobs, in bytes: [`JobSpec::memory_bytes`] of each live one, and
+    /// [`ENDED_JOB_BYTES`] of each that has ended.
+    pub fn memory_bytes(&self) -> usize {
+        self.live_bytes + self.ended.len() * ENDED_JOB_BYTES
+    }
+
     /// The number of jobs of which only the status is left.
     pub fn ended_jobs(&self) -> usize {
         self.ended.len()
--- a/crates/core/src/jobs/spec.rs
+++ b/crates/core/src/jobs/spec.rs
@@ -14,6 +14,13 @@
 /// fit in 32 bits.
 pub const MAX_TASK_CPU_MILLI: u32 = 1_024_000;
 
+/// The memory that is set aside for the state of a task, in bytes: its progress in the replica and in the leader's scheduler, each with the
+/// name of a host and a checkpoint.
+pub const TASK_BYTES: usize = 256;
+
+/// The memory that a process needs for a job beside its submission and its tasks, in bytes.
+const JOB_OVERHEAD_BYTES: usize = 512;
+
 /// The id of a job, chosen by the client and written as 16 lowercase hexadecimal digits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct JobId(pub u64);
@@ -198,6 +205,12 @@
 }
 
 impl StepSpec {
+    /// The memory of the step in bytes, without its tasks.
+    fn memory_bytes(&self) -> usize {
+        let texts = [&self.label, &self.rack, &self.image].into_iter().flatten().map(String::len).sum::<usize>();
+        size_of::<Self>() + texts + size_of_val(self.after.as_slice())
+    }
+
     /// The expected duration of the slowest task of the step, in milliseconds. The estimate is that of a usual task, and the
     /// slowest of many takes longer: 1.6 times as long of 10 tasks, and 1.9 times of 40, if their durations differ by about
     /// a third.
@@ -237,6 +250,17 @@
             .fold(0, |sum: u64, step| sum.saturating_add(step.task_work().saturating_mul(u64::from(step.tasks))))
     }
 
+    /// The memory that a process sets aside for the job while it is live, in bytes. All of its tasks may start, so they
+    /// count in full from the beginning. Linear in the number of steps.
+    pub fn memory_bytes(&self) -> usize {
+        let texts = self.queue.len() + self.settings.service.len() + self.payload.len();
+        let steps: usize = self.steps.iter().map(StepSpec::memory_bytes).sum();
+        let tasks = self.steps.iter().fold(0_usize, |sum, step| sum.saturating_add(step.tasks as usize));
+        let tasks = tasks.saturating_mul(self.occurrences() as usize);
+        let fixed = size_of::<Self>() + JOB_OVERHEAD_BYTES + texts + steps;
+        fixed.saturating_add(tasks.saturating_mul(TASK_BYTES))
+    }
+
     /// The number of occurrences: 1 for a job that is not repeated.
     pub fn occurrences(&self) -> u32 {
         self.repeat.as_ref().map_or(1, |repeat| repeat.count.max(1))
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -97,6 +97,7 @@
 struct State {
     replica: Replica,
     retention: Retention,
+    admission: Admission,
     early_cancellations: EarlyCancellations,
     /// The offset of the next record to read from each stream; absent until the stream was read for the first time.
     next: BTreeMap<Stream, u64>,
@@ -136,11 +137,14 @@
     unknown_submissions: RefCell<BTreeMap<JobId, TimeMs>>,
 }
 
+mod admission;
 mod cancellations;
 mod requests;
 mod retention;
 mod views;
 
+use admission::Admission;
+pub use admission::{DEFAULT_JOB_BUDGET_BYTES, MIN_JOB_BUDGET_BYTES};
 use cancellations::EarlyCancellations;
 use requests::Outage;
 pub use requests::RequestError;
@@ -157,7 +161,11 @@
 
     /// Creates an entry like [`Entry::new`], with other limits for what is kept of jobs.
     pub fn with_job_limits(config: EntryConfig, store: Box<dyn Store>, job_limits: JobLimits) -> Rc<Self> {
-        let state = State { retention: Retention::new(job_limits), ..State::default() };
+        let state = State {
+            retention: Retention::new(job_limits),
+            admission: Admission::new(job_limits.budget_bytes()),
+            ..State::default()
+        };
         Rc::new(Self {
             config,
             store,
@@ -338,7 +346,9 @@
         }
         let mut listed_zones_out = BTreeSet::new();
         let mut listed_jobs = BTreeSet::new();
-        for record in &page.records {
+        // Each record is freed once it is applied, so that a large page is not held twice.
+        for record in page.records {
+            let record = &record;
             match stream {
                 Stream::Operator => match (self.config.decode_operator_record)(record) {
                     Ok(change) => {
--- a/crates/fleet/src/entry/requests.rs
+++ b/crates/fleet/src/entry/requests.rs
@@ -31,6 +31,12 @@
     /// The request did not take effect and never will. Holds the cause, which is sent to the client.
     #[error("the request was not carried out ({0}); send it again")]
     NotDone(String),
+    /// The job was not accepted and never will be: accepted jobs use all memory for them.
+    #[error("the job was not accepted because there is no room for it; send it again in {retry_after_ms} ms")]
+    NoRoom {
+        /// When there may be room, in milliseconds from now.
+        retry_after_ms: u64,
+    },
     /// The request may have taken effect, or may still do so. Holds the cause, which is sent to the client.
     #[error("it is not known whether the request was carried out ({0}); send it again with the same id")]
     Unknown(String),
@@ -47,16 +53,25 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store has not confirmed the job by `deadline`, or at once during an outage of the store.
+    /// Fails if the store has not confirmed the job by `deadline`, or at once during an outage of the store or if there is no
+    /// room for the job.
     pub async fn submit(&self, job: JobId, spec: JobSpec, deadline: TimeMs) -> Result<(), RequestError> {
         if self.state.borrow().replica.is_submitted(job) {
             return Ok(());
         }
         let record = JobRecord::submitted(job, &spec).map_err(|e| RequestError::NotDone(e.to_string()))?;
+        if let Err(refusal) = self.admit(job, &spec).await {
+            return self.track_unknown_outcome(job, Err(refusal));
+        }
         let is_stored = || self.state.borrow().replica.is_submitted(job);
         let stored = self.append_request(record, deadline, is_stored).await;
-        self.track_unknown_outcome(job, stored)?;
+        let outcome = self.track_unknown_outcome(job, stored);
         let mut state = self.state.borrow_mut();
+        // A submission without an answer may take effect later.
+        if !matches!(outcome, Err(RequestError::Unknown(_))) {
+            state.release(job);
+        }
+        outcome?;
         state.apply_submission(job, spec);
         Ok(())
     }
@@ -76,11 +91,11 @@
                 unknown.insert(job, now);
                 Err(RequestError::Unknown(message))
             }
-            Err(RequestError::NotDone(message)) => match unknown.get(&job) {
+            Err(refusal @ (RequestError::NotDone(_) | RequestError::NoRoom { .. })) => match unknown.get(&job) {
                 Some(at) if now.since_ms(*at) < UNKNOWN_OUTCOME_MS => {
-                    Err(RequestError::Unknown(format!("an earlier try had no answer; {message}")))
+                    Err(RequestError::Unknown(format!("an earlier try had no answer; {refusal}")))
                 }
-                _ => Err(RequestError::NotDone(message)),
+                _ => Err(refusal),
             },
         }
     }
--- a/crates/fleet/src/entry/retention.rs
+++ b/crates/fleet/src/entry/retention.rs
@@ -14,7 +14,7 @@
 };
 use tokio::time::sleep;
 
-use super::{Entry, State, requests::UNKNOWN_OUTCOME_MS};
+use super::{DEFAULT_JOB_BUDGET_BYTES, Entry, State, requests::UNKNOWN_OUTCOME_MS};
 use crate::store::{JobRecord, Record, Stream};
 
 /// How long the status of an ended job has to be reported if the platform states no other time, in milliseconds.
@@ -29,6 +29,8 @@
 pub struct JobLimits {
     /// How long an ended job is known, in milliseconds.
     retention_ms: u64,
+    /// The memory that all jobs may use, in bytes.
+    budget_bytes: usize,
 }
 
 impl Default for JobLimits {
@@ -41,7 +43,16 @@
     /// Limits under which the status of an ended job is reported for `status_ms` milliseconds. The job is known for longer by
     /// the time in which a repeated submission may arrive.
     pub fn new(status_ms: u64) -> Self {
-        Self { retention_ms: status_ms.saturating_add(UNKNOWN_OUTCOME_MS) }
+        Self { retention_ms: status_ms.saturating_add(UNKNOWN_OUTCOME_MS), budget_bytes: DEFAULT_JOB_BUDGET_BYTES }
+    }
+
+    /// Sets the memory that all jobs may use, in bytes; at least [`MIN_JOB_BUDGET_BYTES`](super::MIN_JOB_BUDGET_BYTES).
+    pub fn with_budget_bytes(self, budget_bytes: usize) -> Self {
+        Self { budget_bytes, ..self }
+    }
+
+    pub(super) fn budget_bytes(&self) -> usize {
+        self.budget_bytes
     }
 }
 
--- a/crates/fleet/src/entry/views.rs
+++ b/crates/fleet/src/entry/views.rs
@@ -51,7 +51,11 @@
     }
 
     /// Reads a stream up to its end unless its copy is recent enough for counts.
-    async fn refresh(&self, stream: Stream) -> Result<(), RequestError> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store cannot be read, at once if the latest read has failed.
+    pub(super) async fn refresh(&self, stream: Stream) -> Result<(), RequestError> {
         {
             let state = self.state.borrow();
             if state.views.allows_counts(stream, self.config.clock.now()) {
@@ -59,7 +63,7 @@
             }
             if state.unreachable.contains(&stream) {
                 return Err(RequestError::NotDone(
-                    "the store cannot be read, so waiting jobs cannot be counted".to_owned(),
+                    "the store cannot be read, so the jobs that others have accepted are not known".to_owned(),
                 ));
             }
         }
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -139,6 +139,8 @@
     pub records_skipped: Counter,
     pub early_cancellations: Gauge,
     pub ended_jobs: Gauge,
+    pub job_memory_bytes: Gauge,
+    pub jobs_refused: Counter,
     pub server: ServerMetrics,
 }
 
@@ -195,6 +197,8 @@
             self.early_cancellations.clone(),
         );
         r.register("ended_jobs", "Jobs that have ended and of which only the status is kept", self.ended_jobs.clone());
+        r.register("job_memory_bytes", "Memory that accepted jobs may need", self.job_memory_bytes.clone());
+        r.register("jobs_refused", "Jobs refused because accepted ones use all memory", self.jobs_refused.clone());
         r.register("records_skipped", "Records of the store that could not be used", self.records_skipped.clone());
         self.server.register(&mut r);
         encode(&r)
