Lay out the state of a task only once a task of its step has started

A job of 66 bytes may have 4,096 tasks, and the leader laid out 64 bytes for each when the job was accepted, whether they would start in seconds or never: 260 KB for a job.

The tasks of a step are one number until the first of them is borrowed as mutable, which assigning it does. Until then they read as a slice of a constant table, so that no decision knows the difference; records are encoded as before. The budget still counts all of them.

--- a/crates/core/src/jobs/progress.rs
+++ b/crates/core/src/jobs/progress.rs
@@ -7,6 +7,10 @@
     spec::{JobSpec, TaskRef},
 };
 
+mod tasks;
+
+pub use tasks::Tasks;
+
 /// The highest number of a run that is believed. A task runs a few times; a number that is much higher is from another
 /// writer of the store, and would leave no number for the next run.
 pub const MAX_RUN: u32 = u32::MAX / 2;
@@ -59,7 +63,7 @@
         /// Whether a task is known to have started. Earlier versions set it when the first task is assigned to a host.
         pub begun: bool,
         /// The tasks, indexed by occurrence, step and position within the step.
-        pub occurrences: Vec<Vec<Vec<TaskProgress>>>,
+        pub occurrences: Vec<Vec<Tasks>>,
         /// The number of endpoints that crashed right after they had started the task. Tasks without any are left out.
         /// Absent in records of earlier versions.
         #[serde(deserialize_with = "crate::trailing::or_default")]
@@ -69,7 +73,7 @@
 
 impl TaskProgress {
     /// The state of a task that has never run.
-    pub fn new() -> Self {
+    pub const fn new() -> Self {
         Self { state: TaskState::Waiting, run: 0, failures: 0, checkpoint: None }
     }
 
@@ -100,9 +104,9 @@
 }
 
 impl JobProgress {
-    /// The state of a job before its first run.
+    /// The state of a job before its first run. Linear in the number of steps of all occurrences.
     pub fn new(spec: &JobSpec) -> Self {
-        let steps = spec.steps.iter().map(|step| vec![TaskProgress::new(); step.tasks as usize]).collect();
+        let steps = spec.steps.iter().map(|step| Tasks::new(step.tasks as usize)).collect();
         Self {
             phase: Phase::Active,
             begun: false,
@@ -133,7 +137,7 @@
     /// less. A task without its checkpoint starts from the beginning, if a later leader starts it again.
     pub fn with_fewer_checkpoints(&self, bytes: usize) -> Self {
         let mut reduced = self.clone();
-        let tasks = reduced.occurrences.iter_mut().flatten().flatten();
+        let tasks = reduced.occurrences.iter_mut().flatten().flat_map(Tasks::started_mut);
         let mut checkpoints: Vec<_> = tasks.map(|task| &mut task.checkpoint).filter(|saved| saved.is_some()).collect();
         checkpoints.sort_by_key(|saved| std::cmp::Reverse(saved.as_ref().map_or(0, String::len)));
         let mut removed_bytes = 0;
@@ -167,7 +171,8 @@
 
     /// Drops the checkpoints, which a job that has ended does not need.
     pub fn drop_checkpoints(&mut self) {
-        self.occurrences.iter_mut().flatten().flatten().for_each(|task| task.checkpoint = None);
+        let started = self.occurrences.iter_mut().flatten().flat_map(Tasks::started_mut);
+        started.for_each(|task| task.checkpoint = None);
     }
 
     /// Whether all tasks of all occurrences have succeeded.
--- a/crates/core/src/jobs/scheduler/order.rs
+++ b/crates/core/src/jobs/scheduler/order.rs
@@ -15,7 +15,7 @@
 
 use super::Moment;
 use crate::jobs::{
-    progress::{TaskProgress, TaskState},
+    progress::{TaskState, Tasks},
     run_times::{RunTimes, Shape},
     spec::{JobId, JobSpec, QueueSettings, StepSpec, TaskRef},
 };
@@ -70,7 +70,7 @@
         spec: &JobSpec,
         settings: &QueueSettings,
         occurrence: u32,
-        steps: &[Vec<TaskProgress>],
+        steps: &[Tasks],
         mean_work: &MeanWork,
         durations: &Durations<'_>,
     ) -> Self {
--- a/crates/fleet/tests/versions.rs
+++ b/crates/fleet/tests/versions.rs
@@ -100,6 +100,7 @@
     let with_crashes = JobProgress { crashes: BTreeMap::from([(TASK, 2)]), ..progress() };
     let bytes = postcard::to_stdvec(&with_crashes).expect("a record");
     let JobProgress { phase, begun, occurrences, .. } = with_crashes.clone();
+    let occurrences = occurrences.iter().map(|steps| steps.iter().map(|tasks| tasks.to_vec()).collect()).collect();
     assert_eq!(postcard::from_bytes::<EarlierProgress>(&bytes), Ok(EarlierProgress { phase, begun, occurrences }));
     assert_eq!(postcard::from_bytes::<JobProgress>(&bytes), Ok(with_crashes));
 
