Free the names of images that clients choose

What is learned of images outlasts the jobs that name them, and the name was kept as it came: jobs with a name of 100,000 bytes each, another one in each job, let the leader grow by 119,564 KiB although payloads are freed. Names beyond the 512 that are told apart were kept as well.

A name of more than 128 bytes is replaced by its 128-bit XXH3 hash when the job is submitted, as names are only compared; names beyond the maximum are not kept.

--- a/crates/core/src/interference.rs
+++ b/crates/core/src/interference.rs
@@ -49,7 +49,8 @@
         Self::default()
     }
 
-    /// The index of a class; assigns a new one to an unknown name. Names beyond [`MAX_CLASSES`] share the last index.
+    /// The index of a class; assigns a new one to an unknown name. Names beyond [`MAX_CLASSES`] share the last index and are not
+    /// kept, since clients may choose them.
     pub fn intern(&mut self, name: &N) -> ClassId {
         if let Some(class) = self.by_name.get(name) {
             return *class;
@@ -58,8 +59,8 @@
         let class = ClassId(u16::try_from(index).unwrap_or(u16::MAX));
         if self.names.len() < MAX_CLASSES {
             self.names.push(name.clone());
+            self.by_name.insert(name.clone(), class);
         }
-        self.by_name.insert(name.clone(), class);
         class
     }
 
--- a/crates/core/src/jobs/spec.rs
+++ b/crates/core/src/jobs/spec.rs
@@ -3,6 +3,7 @@
 use std::{fmt, ops::RangeInclusive, str::FromStr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_128;
 
 use crate::units::Resources;
 
@@ -10,6 +11,9 @@
 /// progress of a task takes about 40 bytes.
 pub const MAX_TASKS: usize = 4_096;
 
+/// Maximum length of the name of an image, in bytes. What is learned of images outlasts the jobs that name them.
+const MAX_IMAGE_BYTES: usize = 128;
+
 /// Maximum number of processors that a task requests, in thousandths of a core. The sum over the tasks of a host must
 /// fit in 32 bits.
 pub const MAX_TASK_CPU_MILLI: u32 = 1_024_000;
@@ -205,6 +209,14 @@
 }
 
 impl StepSpec {
+    /// Sets the image. A name of more than [`MAX_IMAGE_BYTES`] is replaced by its 128-bit XXH3 hash: images are compared, and nothing else.
+    pub fn with_image(self, name: Option<String>) -> Self {
+        let image = name.map(|name| {
+            if name.len() <= MAX_IMAGE_BYTES { name } else { format!("xxh3:{:032x}", xxh3_128(name.as_bytes())) }
+        });
+        Self { image, ..self }
+    }
+
     /// The memory of the step in bytes, without its tasks.
     fn memory_bytes(&self) -> usize {
         let texts = [&self.label, &self.rack, &self.image].into_iter().flatten().map(String::len).sum::<usize>();
