Share the payload among the starts of a job

One legal job ended a process: with a payload of 200,000 bytes and 1,000 tasks that may start at once, the leader grew by 392 MB, since each order that waited to be sent held a copy of the payload.

Orders that wait refer to the job, and the payload is copied when an order is written, 256 KiB at a time. An agent keeps one copy for all starts of a job that are under way, and calls to its endpoint copy at most 1 MiB at a time. Messages and calls are unchanged.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -143,6 +143,7 @@
 mod incarnation;
 pub mod listener;
 mod pacing;
+mod payloads;
 mod progress;
 mod restarts;
 mod room;
@@ -151,6 +152,7 @@
 
 use departure::DEPARTURE_REPORT_INTERVAL_MS;
 use incarnation::IncarnationState;
+use payloads::Payloads;
 use restarts::CallInFlight;
 
 /// The agent of one endpoint.
@@ -164,6 +166,7 @@
     report_wakeup: Notify,
     /// Ends a report call that waits for a run to end, so that the next one tells the incarnation.
     report_interrupt: Notify,
+    payloads: Payloads,
 }
 
 impl Agent {
@@ -214,6 +217,7 @@
             state: state.into(),
             report_wakeup: Notify::new(),
             report_interrupt: Notify::new(),
+            payloads: Payloads::default(),
         })
     }
 
--- a/crates/fleet/src/agent/starts.rs
+++ b/crates/fleet/src/agent/starts.rs
@@ -80,16 +80,20 @@
         state.current.orders.insert(start.task, order);
         drop(state);
         if status != RunStatus::Running {
-            spawn_local(self.clone().repeat_start(start));
+            let payload = self.payloads.share(start.task.job, &start.payload);
+            let Start { incarnation, task, run, checkpoint, .. } = start;
+            let order = StartOrder { task, run, payload, deadline_ms: 0, checkpoint };
+            spawn_local(self.clone().repeat_start(incarnation, order));
         }
     }
 
     /// Repeats a start until the endpoint has answered it or the order is no longer current.
-    async fn repeat_start(self: Rc<Self>, start: Start) {
-        let (task, run, incarnation) = (start.task, start.run, start.incarnation);
-        let mut order = StartOrder { task, run, payload: start.payload, deadline_ms: 0, checkpoint: start.checkpoint };
+    async fn repeat_start(self: Rc<Self>, incarnation: u64, mut order: StartOrder) {
+        let (task, run) = (order.task, order.run);
         let mut unanswered = false;
         loop {
+            // Before the deadline of the call is determined.
+            let call = self.payloads.begin_call(order.payload.len()).await;
             let next = self.state.borrow_mut().next_attempt(incarnation, task, run, unanswered, self.clock.now());
             let token = match next {
                 NextAttempt::Send { token, deadline_ms } => {
@@ -97,6 +101,7 @@
                     token
                 }
                 NextAttempt::Later => {
+                    drop(call);
                     sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
                     continue;
                 }
@@ -105,7 +110,9 @@
                 }
                 NextAttempt::Settled => return,
             };
-            match self.call("start", ANSWER_TIMEOUT_MS, self.endpoint.start(incarnation, token, &order)).await {
+            let answer = self.call("start", ANSWER_TIMEOUT_MS, self.endpoint.start(incarnation, token, &order)).await;
+            drop(call);
+            match answer {
                 Ok(StartAnswer::Started) => {
                     return self.state.borrow_mut().record_start(incarnation, task, run, self.clock.now());
                 }
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -1,5 +1,7 @@
 //! The interface of an endpoint, which runs the tasks of one host.
 
+use std::rc::Rc;
+
 use async_trait::async_trait;
 use fescuelead_core::jobs::{Rejection, RunEnd, TaskRef};
 
@@ -10,8 +12,8 @@
     pub task: TaskRef,
     /// The number of the run, which grows with each run of the task.
     pub run: u32,
-    /// The job's payload, which only the task interprets.
-    pub payload: String,
+    /// The job's payload, which only the task interprets. Shared by the starts of the job.
+    pub payload: Rc<str>,
     /// The time after which the order has no effect, in milliseconds on the endpoint's clock. The lease of the whole endpoint
     /// is extended up to then at least.
     pub deadline_ms: u64,
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -21,7 +21,7 @@
     entry::{EPOCHS_PER_MS, Entry, back_off},
     message::{Start, ToAgent, ToLeader},
     metrics::{OutcomeLabel, PredictionLabel},
-    session::{self, Leadership, SessionEvent},
+    session::{self, Leadership, Order, SessionEvent, StartOfJob},
     store::{JobRecord, LeaderMark, LeaderRecord, Record, StoreError, Stream},
 };
 
@@ -55,7 +55,7 @@
 /// The leader's session with the agent of one host, including its reconnects.
 struct Session {
     address: watch::Sender<SocketAddr>,
-    orders: mpsc::UnboundedSender<ToAgent>,
+    orders: mpsc::UnboundedSender<Order>,
     task: JoinHandle<()>,
 }
 
@@ -538,9 +538,9 @@
 
     /// Sends an order to an agent. An order that is lost with its session is sent again after the host has reported its
     /// runs in the next one.
-    fn send_order(&self, host: &HostName, order: ToAgent) {
+    fn send_order(&self, host: &HostName, order: impl Into<Order>) {
         let session = self.sessions.get(host);
-        if session.is_none_or(|session| session.orders.send(order).is_err()) {
+        if session.is_none_or(|session| session.orders.send(order.into()).is_err()) {
             log::warn!("order dropped because the host has no session: host={host}");
         }
     }
@@ -581,7 +581,7 @@
                         incarnation,
                         task,
                         run,
-                        payload: spec.payload.clone(),
+                        payload: String::new(),
                         checkpoint,
                         cpu_milli: step.resources.cpu_milli,
                         background: step.background,
@@ -590,7 +590,8 @@
                         memory_mib: step.resources.memory_mib,
                         accelerators: step.resources.accelerators,
                     };
-                    (host, ToAgent::Start(start))
+                    self.send_order(&host, StartOfJob::new(start, spec));
+                    continue;
                 }
                 Effect::Stop { host, task, run } => (host, ToAgent::Stop { task, run }),
                 Effect::Move { host, task, run, reason } => {
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -4,12 +4,13 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
 use fescuelead_core::{
     jobs::{
-        HostName, JobId, RunProgress, Suspicion,
+        HostName, JobId, JobSpec, RunProgress, Suspicion,
         lease::{LeadershipProof, LeasePlan},
     },
     units::TimeMs,
@@ -24,7 +25,7 @@
 use crate::{
     agent::Agent,
     clock::Clock,
-    message::{self, ToAgent, ToLeader},
+    message::{self, Start, ToAgent, ToLeader},
 };
 
 /// How often an agent requests a lease grant, in milliseconds: ten times in a usual lease.
@@ -44,6 +45,9 @@
 /// agent reserve memory for more.
 const MAX_HELLO_BYTES: usize = 4_096;
 
+/// Payloads that are copied for one write, in bytes; one larger payload is written alone.
+const MAX_SENT_PAYLOAD_BYTES: usize = 256 * 1_024;
+
 /// Serves a leader that has connected to the agent, until the session or the connection ends. Calls `on_hello` once the
 /// other end has shown that it speaks the protocol.
 pub(crate) async fn accept(agent: Rc<Agent>, stream: impl AsyncRead + AsyncWrite + 'static, on_hello: impl FnOnce()) {
@@ -123,6 +127,58 @@
         .unwrap_or_else(|_| Err(std::io::Error::other("the peer did not read the messages in time")))
 }
 
+/// An order that waits to be sent to an agent. A start shares the payload of its job with all others until then.
+#[derive(Debug)]
+pub(crate) enum Order {
+    Message(ToAgent),
+    Start(StartOfJob),
+}
+
+/// A start whose payload is that of its job.
+#[derive(Debug)]
+pub(crate) struct StartOfJob {
+    start: Start,
+    spec: Arc<JobSpec>,
+}
+
+impl StartOfJob {
+    /// Creates an order from a start without payload and its job.
+    pub(crate) fn new(start: Start, spec: Arc<JobSpec>) -> Self {
+        Self { start, spec }
+    }
+}
+
+impl Order {
+    /// The bytes of the payload that the message will hold.
+    fn payload_bytes(&self) -> usize {
+        match self {
+            Self::Message(_) => 0,
+            Self::Start(order) => order.spec.payload.len(),
+        }
+    }
+}
+
+impl From<ToAgent> for Order {
+    fn from(message: ToAgent) -> Self {
+        Self::Message(message)
+    }
+}
+
+impl From<StartOfJob> for Order {
+    fn from(order: StartOfJob) -> Self {
+        Self::Start(order)
+    }
+}
+
+impl From<Order> for ToAgent {
+    fn from(order: Order) -> Self {
+        match order {
+            Order::Message(message) => message,
+            Order::Start(StartOfJob { start, spec }) => Self::Start(Start { payload: spec.payload.clone(), ..start }),
+        }
+    }
+}
+
 /// The state of one term of leadership, shared by the leader's sessions with all hosts.
 pub(crate) struct Leadership {
     pub name: String,
@@ -170,7 +226,7 @@
     leadership: Rc<Leadership>,
     host: HostName,
     mut address: watch::Receiver<SocketAddr>,
-    mut orders: mpsc::UnboundedReceiver<ToAgent>,
+    mut orders: mpsc::UnboundedReceiver<Order>,
     events: mpsc::UnboundedSender<(HostName, SessionEvent)>,
 ) {
     let mut backoff_ms = RECONNECT_BACKOFF_MS;
@@ -211,7 +267,7 @@
     leadership: &Leadership,
     host: &HostName,
     stream: TcpStream,
-    orders: &mut mpsc::UnboundedReceiver<ToAgent>,
+    orders: &mut mpsc::UnboundedReceiver<Order>,
     events: &mpsc::UnboundedSender<(HostName, SessionEvent)>,
     last_grant_at: &Cell<Option<TimeMs>>,
 ) {
@@ -235,7 +291,7 @@
     let mut last_received = Instant::now();
     let mut is_suspected = false;
     loop {
-        let mut messages = Vec::new();
+        let (mut messages, mut payload_bytes) = (Vec::new(), 0);
         let idle_until = last_received + Duration::from_millis(SESSION_TIMEOUT_MS);
         tokio::select! {
             // What was received counts even if it is handled late.
@@ -275,12 +331,16 @@
             }
             order = orders.recv() => {
                 let Some(order) = order else { break };
-                messages.push(order);
+                payload_bytes += order.payload_bytes();
+                messages.push(order.into());
             }
             () = sleep_until(idle_until) => break,
         }
-        while let Ok(order) = orders.try_recv() {
-            messages.push(order);
+        while payload_bytes < MAX_SENT_PAYLOAD_BYTES
+            && let Ok(order) = orders.try_recv()
+        {
+            payload_bytes += order.payload_bytes();
+            messages.push(order.into());
         }
         if !messages.is_empty() && send(&mut writer, &messages).await.is_err() {
             break;
