--- a/crates/fleet/src/agent/starts.rs
+++ b/crates/fleet/src/agent/starts.rs
@@ -106,6 +106,7 @@
                     continue;
                 }
                 NextAttempt::Withdraw(reason) => {
+                    drop(call);
                     return self.refuse_start(incarnation, task, run, reason, unanswered).await;
                 }
                 NextAttempt::Settled => return,
