Move replication, election, appends and reports into modules of their own

entry.rs and leader.rs had grown beyond 600 lines and held several jobs each: a reader of the entry met its requests, the copy of the streams and the election in one file, and a reader of the leader its records and what it tells operators.

A pure move: entry/replication.rs reads the streams and applies records, entry/election.rs chooses the leader, leader/appends.rs encodes and stores the leader's records, leader/reports.rs logs and sets gauges. Only the visibility of what other modules call has changed.

Evidence: cargo test -p fescuelead-fleet and clippy pass as before.

--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -4,10 +4,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{
-        Batch, CountedCrash, Effect, HostName, JobId, MoveReason, Phase, ReservationChange, RunOutcome, Scheduler,
-        StartCheck, StepRef, run_times::SlowRun,
-    },
+    jobs::{Batch, Effect, HostName, JobId, MoveReason, Phase, RunOutcome, Scheduler, StartCheck},
     units::TimeMs,
 };
 use tokio::{
@@ -20,15 +17,18 @@
 use crate::{
     entry::{EPOCHS_PER_MS, Entry, back_off},
     message::{Start, ToAgent, ToLeader},
-    metrics::{OutcomeLabel, PredictionLabel},
+    metrics::OutcomeLabel,
     session::{self, Leadership, Order, SessionEvent, StartOfJob},
-    store::{JobRecord, LeaderMark, LeaderRecord, Record, StoreError, Stream},
+    store::{JobRecord, LeaderMark, LeaderRecord, StoreError, Stream},
 };
 
+mod appends;
+mod reports;
+
+use appends::{Appended, append_records, encode};
+
 /// How often the scheduler checks for expired leases and due occurrences, in milliseconds.
 const TICK_MS: u64 = 50;
-/// The maximum size of the records in one append, in bytes. The platform accepts at least twice as much.
-const MAX_APPEND_BYTES: usize = 512 * 1024;
 /// How far the epoch floor rises above an epoch that the store refused: the epochs of five seconds, which is more than
 /// the clocks of two entries differ.
 const EPOCH_STEP: u64 = 5_000 * EPOCHS_PER_MS;
@@ -195,84 +195,6 @@
     entry.is_leader(&leadership.name, leadership.epoch.get())
 }
 
-/// Records that the store has confirmed.
-#[derive(Debug, Clone, Copy, Default)]
-struct Appended {
-    /// The offset after the records.
-    next: u64,
-    /// When the confirmed call was sent, before which no other leader had written.
-    sent_at: TimeMs,
-}
-
-/// Appends records under consecutive sequence numbers from `first` on, and repeats each append until the store has
-/// confirmed it. Fails with [`StoreError::Fenced`] if a later leader has written.
-async fn append_records(
-    entry: &Entry,
-    leadership: &Leadership,
-    first: u64,
-    appends: &[Vec<Record>],
-) -> Result<Appended, StoreError> {
-    let mut appended = Appended::default();
-    for (sequence, records) in (first..).zip(appends) {
-        let mark = LeaderMark { epoch: leadership.epoch.get(), sequence };
-        let mut backoff_ms = APPEND_BACKOFF_MS;
-        appended = loop {
-            let sent_at = leadership.clock.now();
-            match entry.call_store("append", entry.store.append(Stream::Progress, records, Some(mark))).await {
-                Ok(next) => {
-                    leadership.proof.borrow_mut().renew(sent_at);
-                    break Appended { next, sent_at };
-                }
-                Err(StoreError::Fenced) => {
-                    log::warn!(
-                        "records refused because a later leader has written: entry={} sequence={sequence}",
-                        leadership.name
-                    );
-                    return Err(StoreError::Fenced);
-                }
-                Err(error) => {
-                    log::warn!("records not stored yet: entry={} sequence={sequence} error={error}", leadership.name);
-                    back_off(&mut backoff_ms).await;
-                }
-            }
-        };
-    }
-    Ok(appended)
-}
-
-/// Encodes a heartbeat and the changed jobs of a batch as the records of one or more appends. The job records of an
-/// append take at most [`MAX_APPEND_BYTES`], unless a single one is larger. Records that cannot be encoded are logged
-/// and skipped.
-fn encode(batch: &Batch, heartbeat: Option<LeaderRecord>, max_record_bytes: usize) -> Vec<Vec<Record>> {
-    let mut first = Vec::new();
-    match heartbeat.as_ref().map(JobRecord::leader) {
-        Some(Ok(record)) => first.push(record),
-        Some(Err(error)) => log::error!("heartbeat cannot be encoded: error={error}"),
-        None => {}
-    }
-    let mut appends = vec![first];
-    let mut bytes = 0;
-    for (job, progress) in &batch.records {
-        let record = match JobRecord::progressed(*job, progress, max_record_bytes) {
-            Ok(record) => record,
-            Err(error) => {
-                log::error!("job progress cannot be encoded: job={job} error={error}");
-                continue;
-            }
-        };
-        let size = record.size_bytes();
-        if bytes + size > MAX_APPEND_BYTES && bytes > 0 {
-            appends.push(Vec::new());
-            bytes = 0;
-        }
-        bytes += size;
-        if let Some(last) = appends.last_mut() {
-            last.push(record);
-        }
-    }
-    appends
-}
-
 impl Leadership {
     fn record(&self, resigned: bool) -> LeaderRecord {
         LeaderRecord { epoch: self.epoch.get(), name: self.name.clone(), resigned }
@@ -474,60 +396,6 @@
         }
     }
 
-    /// Logs a crash that was counted against a task.
-    fn report_crash(&self, host: &HostName, crash: &CountedCrash) {
-        let CountedCrash { task, run, crashes, given_up } = crash;
-        log::warn!("crash counted: task={task} run={run} host={host} crashes={crashes}");
-        if *given_up {
-            log::warn!("task given up: task={task} crashes={crashes}");
-            self.entry.config.metrics.tasks_given_up.inc();
-        }
-    }
-
-    /// Logs reservations of room that were made or have ended.
-    fn report_reservations(&mut self) {
-        for change in self.scheduler.take_reservation_changes() {
-            match change {
-                ReservationChange::Made { step: StepRef { job, occurrence, step }, hosts, start_in_ms } => {
-                    log::info!(
-                        "room reserved: job={job} occurrence={occurrence} step={step} hosts={hosts} start_in_ms={start_in_ms}"
-                    );
-                }
-                ReservationChange::Ended { step: StepRef { job, occurrence, step }, held_ms } => {
-                    log::info!("reservation ended: job={job} occurrence={occurrence} step={step} held_ms={held_ms}");
-                }
-            }
-        }
-    }
-
-    /// Logs runs that have become slow for their steps, and sets the gauges of run times.
-    fn report_slow_runs(&mut self) {
-        let Some(slow) = self.scheduler.take_slow_runs(self.entry.config.clock.moment()) else { return };
-        for (run, _) in slow.iter().filter(|(_, known)| !known) {
-            let SlowRun { task, run, host, elapsed_ms, percent, median_ms } = run;
-            log::info!(
-                "run slow for its step: task={task} run={run} host={host} elapsed_ms={elapsed_ms} percent={percent:?} median_ms={median_ms}"
-            );
-        }
-        let metrics = &self.entry.config.metrics;
-        metrics.slow_runs.set(slow.len() as i64);
-        if let Some((expected, estimate)) = self.scheduler.run_times().errors_percent() {
-            metrics.run_time_error_percent.get_or_create(&PredictionLabel { by: "expectation" }).set(expected as i64);
-            metrics.run_time_error_percent.get_or_create(&PredictionLabel { by: "estimate" }).set(estimate as i64);
-        }
-    }
-
-    fn set_gauges(&self) {
-        let metrics = &self.entry.config.metrics;
-        metrics.waiting_steps.set(self.scheduler.waiting_steps() as i64);
-        let (hosts, steps) = self.scheduler.reservation_counts();
-        metrics.reserved_hosts.set(hosts as i64);
-        metrics.reserving_steps.set(steps as i64);
-        metrics.hosts_connected.set(self.scheduler.connected_hosts() as i64);
-        metrics.departing_hosts.set(self.scheduler.departing_hosts() as i64);
-        metrics.unreported_runs.set(self.scheduler.unreported_runs() as i64);
-    }
-
     /// Sends each agent the interference estimates for the images on its host that have changed.
     fn send_pair_tables(&mut self) {
         for (host, table) in self.scheduler.take_pair_updates(self.entry.config.clock.moment()) {
