Pause between reads that return nothing while there are records

A record that cannot be read, such as one larger than an answer, let an entry read the stream without a pause, 240 times a second in the test: took out the pause of followers that are behind, and a leader never had one. The platform limits the reads of all processes together.

Evidence: crates/fleet/tests/odd_records.rs, a_record_that_cannot_be_read_is_asked_for_now_and_then: 2,424 reads in 10 s before, failed (at most 500); passes now.

--- a/crates/fleet/src/entry/replication.rs
+++ b/crates/fleet/src/entry/replication.rs
@@ -53,9 +53,11 @@
                     // The store has waited for records in vain, so the copy was complete until it answered.
                     let waited_ms = if from.is_some() && page.records.is_empty() { READ_WAIT_MS } else { 0 };
                     let read_at = sent_at.plus_ms(waited_ms).min(self.config.clock.now());
-                    let at_end = page.at_end;
+                    let (at_end, is_empty) = (page.at_end, page.records.is_empty());
                     self.apply(stream, from, page, read_at);
                     let spacing_ms = match stream {
+                        // The next record cannot be read, for example because it is larger than an answer.
+                        _ if !at_end && is_empty => JOBS_POLL_MS,
                         // Further records are in the store already.
                         _ if !at_end => 0,
                         Stream::Progress => PROGRESS_POLL_MS,
--- a/crates/fleet/tests/odd_records.rs
+++ b/crates/fleet/tests/odd_records.rs
@@ -143,3 +143,28 @@
         })
         .await;
 }
+
+/// Guards against reads without a pause while a record cannot be read: each of them is a call that the platform limits.
+#[tokio::test(start_paused = true)]
+async fn a_record_that_cannot_be_read_is_asked_for_now_and_then() {
+    LocalSet::new()
+        .run_until(async {
+            let store = MemoryStore::default();
+            store.put(Stream::Operator, Record::new("config", vec![1]));
+            store.stuck.set(Some(Stream::Jobs));
+            let config = EntryConfig {
+                name: "a".to_owned(),
+                plan: LeasePlan::new(6_000),
+                clock: Clock::Runtime { start: Instant::now(), unix_ms: 1_700_000_000_000 },
+                decode_operator_record,
+                metrics: EntryMetrics::default(),
+            };
+            let entry: Rc<Entry> = Entry::new(config, Box::new(store.clone()));
+            spawn_local(entry.run(CancellationToken::new()));
+            tokio::time::sleep(Duration::from_secs(10)).await;
+            let reads = store.stuck_reads.get();
+            // The platform allows 2,000 reads a second for all processes together.
+            assert!((1..=500).contains(&reads), "{reads} reads in 10 s");
+        })
+        .await;
+}
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -56,6 +56,10 @@
     pub lose_answers: Rc<Cell<u32>>,
     /// The stream whose next read fails because its records are not kept any more.
     pub expire: Rc<Cell<Option<Stream>>>,
+    /// The stream of which no further record can be read, although there are some.
+    pub stuck: Rc<Cell<Option<Stream>>>,
+    /// The number of reads of that stream.
+    pub stuck_reads: Rc<Cell<u32>>,
     /// Whether another leader takes over with the same epoch just before the next one does.
     pub rival: Rc<Cell<bool>>,
 }
@@ -104,6 +108,10 @@
 
     async fn read(&self, stream: Stream, from: u64, wait_ms: u64) -> Result<Page, StoreError> {
         self.simulate_call().await?;
+        if self.stuck.get() == Some(stream) {
+            self.stuck_reads.set(self.stuck_reads.get() + 1);
+            return Ok(Page { records: Vec::new(), next: from, at_end: false });
+        }
         let length = || self.shared.borrow().streams.get(&stream).map_or(0, Vec::len) as u64;
         let waiting = async {
             while length() <= from {
