--- a/crates/core/src/jobs/progress/tasks.rs
+++ b/crates/core/src/jobs/progress/tasks.rs
@@ -8,17 +8,17 @@
 use crate::jobs::spec::MAX_TASKS;
 
 /// What the tasks of all steps without a run look like.
-static UNTOUCHED: [TaskProgress; MAX_TASKS] = [const { TaskProgress::new() }; MAX_TASKS];
+static NOT_STARTED: [TaskProgress; MAX_TASKS] = [const { TaskProgress::new() }; MAX_TASKS];
 
 /// The progress of the tasks of a step: a slice that takes constant space until it is first borrowed as mutable. Encoded as a
 /// sequence of all tasks.
 #[derive(Debug, Clone)]
-pub struct Tasks(Rows);
+pub struct Tasks(Repr);
 
 #[derive(Debug, Clone)]
-enum Rows {
+enum Repr {
     /// At most [`MAX_TASKS`] tasks that have never run.
-    Untouched(usize),
+    NotStarted(usize),
     Started(Vec<TaskProgress>),
 }
 
@@ -26,17 +26,17 @@
     /// Tasks that have never run.
     pub fn new(count: usize) -> Self {
         if count <= MAX_TASKS {
-            Self(Rows::Untouched(count))
+            Self(Repr::NotStarted(count))
         } else {
-            Self(Rows::Started(vec![TaskProgress::new(); count]))
+            Self(Repr::Started(vec![TaskProgress::new(); count]))
         }
     }
 
     /// The tasks for modification if any may have run. Takes no further space, unlike a mutable borrow of all.
     pub fn started_mut(&mut self) -> &mut [TaskProgress] {
         match &mut self.0 {
-            Rows::Untouched(_) => &mut [],
-            Rows::Started(tasks) => tasks,
+            Repr::NotStarted(_) => &mut [],
+            Repr::Started(tasks) => tasks,
         }
     }
 }
@@ -44,10 +44,10 @@
 impl From<Vec<TaskProgress>> for Tasks {
     /// Frees the space of tasks that have never run. Linear in their number.
     fn from(tasks: Vec<TaskProgress>) -> Self {
-        if tasks.len() <= MAX_TASKS && tasks.iter().all(|task| *task == UNTOUCHED[0]) {
-            Self(Rows::Untouched(tasks.len()))
+        if tasks.len() <= MAX_TASKS && tasks.iter().all(|task| *task == NOT_STARTED[0]) {
+            Self(Repr::NotStarted(tasks.len()))
         } else {
-            Self(Rows::Started(tasks))
+            Self(Repr::Started(tasks))
         }
     }
 }
@@ -57,16 +57,16 @@
 
     fn deref(&self) -> &[TaskProgress] {
         match &self.0 {
-            Rows::Untouched(count) => &UNTOUCHED[..*count],
-            Rows::Started(tasks) => tasks,
+            Repr::NotStarted(count) => &NOT_STARTED[..*count],
+            Repr::Started(tasks) => tasks,
         }
     }
 }
 
 impl DerefMut for Tasks {
     fn deref_mut(&mut self) -> &mut [TaskProgress] {
-        if let Rows::Untouched(count) = self.0 {
-            self.0 = Rows::Started(vec![TaskProgress::new(); count]);
+        if let Repr::NotStarted(count) = self.0 {
+            self.0 = Repr::Started(vec![TaskProgress::new(); count]);
         }
         self.started_mut()
     }
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -262,7 +262,7 @@
     }
 }
 
-/// Estimates the encoded size of a record as its variable-length part plus a fixed allowance for the rest.
+/// Estimates the encoded size of a record as its variable-length part plus a fixed number of bytes for the rest.
 fn approximate_bytes(record: &Record) -> usize {
     const FIXED_BYTES: usize = 512;
     FIXED_BYTES
--- a/crates/core/tests/progress.rs
+++ b/crates/core/tests/progress.rs
@@ -45,14 +45,14 @@
 
 /// Guards against tasks that differ by how they are held.
 #[test]
-fn untouched_tasks_equal_those_that_were_borrowed_as_mutable() {
-    let (untouched, mut borrowed) = (Tasks::new(3), Tasks::new(3));
+fn tasks_without_a_run_equal_those_that_were_borrowed_as_mutable() {
+    let (not_started, mut borrowed) = (Tasks::new(3), Tasks::new(3));
     assert!(borrowed.started_mut().is_empty());
     assert_eq!(borrowed.iter_mut().count(), 3);
     assert_eq!(borrowed.started_mut().len(), 3);
-    assert_eq!(untouched, borrowed);
-    assert_ne!(untouched, Tasks::new(2));
-    assert_eq!(untouched, Tasks::from(borrowed.to_vec()));
+    assert_eq!(not_started, borrowed);
+    assert_ne!(not_started, Tasks::new(2));
+    assert_eq!(not_started, Tasks::from(borrowed.to_vec()));
 }
 
 /// Guards against a step that loses its tasks because another writer has stored more than are allowed.
