Send starts only from recent copies of the store

Cause: a leader sends a start once the record of the decision is stored. That proves that no other entry leads, not that the leader has read what other entries and operators stored before. A leader that the store turns away repeats its append; when the store is back, the append and the next read of the jobs race. The same holds for an order that is repeated in a new session of its host, which needs no append at all, and for changes that had been read but waited in the channel to the leader.

Change: starts are held until the copies of the jobs and of the operators' records were complete a short time ago, which follows from the platform's bounds cancel_ms and evacuation_ms. If they are older, the leader reads both streams, handles what they hold, and checks each start again. Changes that were read are handled before any start is sent.

--- a/crates/core/src/jobs/lease.rs
+++ b/crates/core/src/jobs/lease.rs
@@ -25,6 +25,17 @@
 /// How long a start may take effect after it was sent, in milliseconds: longer than a call to the endpoint may last.
 const MAX_START_VALIDITY_MS: u64 = 1_000;
 
+/// Within which time the last start has to take effect after the cancellation of its job was acknowledged, in milliseconds, if
+/// the platform states no other.
+pub const DEFAULT_CANCEL_PERIOD_MS: u64 = 3_000;
+
+/// The same time after an availability zone was taken out of service, in milliseconds.
+pub const DEFAULT_ZONE_OUT_PERIOD_MS: u64 = 5_000;
+
+/// The shortest [`LeasePlan::copy_validity_ms`], in milliseconds: many times what a call to the store and one to an endpoint
+/// usually take. With less, no start might ever be sent.
+const MIN_COPY_VALIDITY_MS: u64 = 1_000;
+
 /// Added to the time after which an unreachable host counts as lost, in milliseconds: one tick of the leader and one of
 /// the endpoint.
 pub const TICK_MARGIN_MS: u64 = 250;
@@ -39,6 +50,11 @@
         pub proof_ms: u64,
         /// How long a start may take effect on an endpoint, in milliseconds after the agent sent it.
         pub start_validity_ms: u64,
+        /// Within which time the last start has to take effect after the cancellation of its job was acknowledged, in
+        /// milliseconds.
+        pub cancel_period_ms: u64,
+        /// The same time after an availability zone was taken out of service, in milliseconds.
+        pub zone_out_period_ms: u64,
     }
 }
 
@@ -48,7 +64,13 @@
     /// store, and short enough that a leader without access to the store is replaced before the grants expire.
     pub fn new(max_lease_ms: u64) -> Self {
         let grant_ms = max_lease_ms.saturating_sub(1_000).max(max_lease_ms / 2);
-        Self { grant_ms, proof_ms: grant_ms * 2 / 5, start_validity_ms: MAX_START_VALIDITY_MS }
+        Self {
+            grant_ms,
+            proof_ms: grant_ms * 2 / 5,
+            start_validity_ms: MAX_START_VALIDITY_MS,
+            cancel_period_ms: DEFAULT_CANCEL_PERIOD_MS,
+            zone_out_period_ms: DEFAULT_ZONE_OUT_PERIOD_MS,
+        }
     }
 
     /// Limits the validity of starts to half of `drain_ms`, the time in milliseconds within which the last start has to take
@@ -57,6 +79,23 @@
         Self { start_validity_ms: self.start_validity_ms.min(drain_ms / 2), ..self }
     }
 
+    /// Sets [`Self::cancel_period_ms`].
+    pub fn with_cancel_period(self, cancel_period_ms: u64) -> Self {
+        Self { cancel_period_ms, ..self }
+    }
+
+    /// Sets [`Self::zone_out_period_ms`].
+    pub fn with_zone_out_period(self, zone_out_period_ms: u64) -> Self {
+        Self { zone_out_period_ms, ..self }
+    }
+
+    /// How long a start may be sent to its endpoint after the leader's copy of the store was complete, in milliseconds, if the
+    /// records of that copy can forbid starts, which then end within `period_ms` of their acknowledgement: what is left of
+    /// the period after the time that the endpoint has to carry out the start.
+    pub fn copy_validity_ms(&self, period_ms: u64) -> u64 {
+        period_ms.saturating_sub(self.start_validity_ms).max(MIN_COPY_VALIDITY_MS)
+    }
+
     /// The time from which no task of a host can be running, if this leader last answered the host's requests at
     /// `answered`.
     pub fn lost_after_answer(&self, answered: TimeMs) -> TimeMs {
--- a/crates/core/tests/jobs_explorer.rs
+++ b/crates/core/tests/jobs_explorer.rs
@@ -162,7 +162,9 @@
     fn new(seed: u64, bug: InjectedBug) -> Self {
         let plan = LeasePlan::new(6_000);
         let leader_plan = match bug {
-            InjectedBug::IgnoreLease => LeasePlan { grant_ms: 0, proof_ms: 0, start_validity_ms: 0 },
+            InjectedBug::IgnoreLease => {
+                LeasePlan { grant_ms: 0, proof_ms: 0, start_validity_ms: 0, ..LeasePlan::new(6_000) }
+            }
             _ => plan,
         };
         let now = 1_000_000;
@@ -377,7 +379,9 @@
             *answered = None;
         }
         let plan = match self.bug {
-            InjectedBug::IgnoreLease => LeasePlan { grant_ms: 0, proof_ms: 0, start_validity_ms: 0 },
+            InjectedBug::IgnoreLease => {
+                LeasePlan { grant_ms: 0, proof_ms: 0, start_validity_ms: 0, ..LeasePlan::new(6_000) }
+            }
             _ => self.plan,
         };
         let moment = self.moment();
--- a/crates/fleet/src/entry/replication.rs
+++ b/crates/fleet/src/entry/replication.rs
@@ -24,6 +24,17 @@
 /// The pause between two reads of submissions and cancellations by a follower, in milliseconds.
 const JOBS_POLL_MS: u64 = 300;
 
+/// What a read of a stream has returned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct PageRead {
+    /// Whether the records were applied; another task may have read on in the meantime.
+    pub is_applied: bool,
+    /// Whether the stream had no further records.
+    pub at_end: bool,
+    /// Whether there were no records.
+    pub is_empty: bool,
+}
+
 impl Entry {
     /// Replicates a stream until the task is dropped.
     pub(super) async fn follow(self: Rc<Self>, stream: Stream) {
@@ -86,6 +97,16 @@
 
     /// Reads a stream up to its end and applies the records.
     pub(crate) async fn catch_up(&self, stream: Stream) -> Result<(), StoreError> {
+        loop {
+            let PageRead { is_applied, is_empty, .. } = self.read_once(stream).await?;
+            if is_applied && is_empty {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Reads the next records of a stream without waiting for any, and applies them.
+    pub(super) async fn read_once(&self, stream: Stream) -> Result<PageRead, StoreError> {
         loop {
             let from = self.state.borrow().next.get(&stream).copied();
             let sent_at = self.config.clock.now();
@@ -100,10 +121,8 @@
                     Err(error) => return Err(error),
                 },
             };
-            let is_end = page.records.is_empty();
-            if self.apply(stream, from, page, sent_at) && is_end {
-                return Ok(());
-            }
+            let (at_end, is_empty) = (page.at_end, page.records.is_empty());
+            return Ok(PageRead { is_applied: self.apply(stream, from, page, sent_at), at_end, is_empty });
         }
     }
 
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -1,10 +1,10 @@
 //! The leader feeds the scheduler with events from the store and the hosts, stores its decisions, and sends them to the
 //! hosts once they are stored.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 
 use fescuelead_core::{
-    jobs::{Batch, Effect, HostName, JobId, MoveReason, Phase, RunOutcome, Scheduler, StartCheck},
+    jobs::{Batch, Effect, HostName, JobId, MoveReason, Phase, RunOutcome, Scheduler},
     units::TimeMs,
 };
 use tokio::{
@@ -16,16 +16,18 @@
 
 use crate::{
     entry::{EPOCHS_PER_MS, Entry, back_off},
-    message::{Start, ToAgent, ToLeader},
+    message::{ToAgent, ToLeader},
     metrics::OutcomeLabel,
-    session::{self, Leadership, Order, SessionEvent, StartOfJob},
+    session::{self, Leadership, Order, SessionEvent},
     store::{JobRecord, LeaderMark, LeaderRecord, StoreError, Stream},
 };
 
 mod appends;
 mod reports;
+mod starts;
 
 use appends::{Appended, append_records, encode};
+use starts::{HeldStarts, StoredStart};
 
 /// How often the scheduler checks for expired leases and due occurrences, in milliseconds.
 const TICK_MS: u64 = 50;
@@ -52,6 +54,9 @@
     HostsChanged,
 }
 
+/// A read of the store for starts that wait for it.
+type Refresh = Pin<Box<dyn Future<Output = ()>>>;
+
 /// The leader's session with the agent of one host, including its reconnects.
 struct Session {
     address: watch::Sender<SocketAddr>,
@@ -69,6 +74,8 @@
     sequence: u64,
     /// The batch whose records are being stored. Its effects are carried out afterwards.
     pending_batch: Option<Batch>,
+    /// Starts of stored batches that wait for recent copies of the store.
+    held_starts: HeldStarts,
     /// The jobs whose progress is being removed, which are forgotten afterwards.
     pending_removals: Vec<JobId>,
     append_results: mpsc::UnboundedSender<Result<Appended, StoreError>>,
@@ -106,6 +113,7 @@
     let mut leader = Leader::new(entry.clone(), leadership.clone(), session_sender, result_sender);
     leader.connect();
     let mut ticks = interval(Duration::from_millis(TICK_MS));
+    let mut refresh: Option<Refresh> = None;
     loop {
         tokio::select! {
             event = entry_events.recv() => {
@@ -127,6 +135,7 @@
                     leader.apply_batch(batch);
                 }
             }
+            () = async { if let Some(refresh) = &mut refresh { refresh.await } }, if refresh.is_some() => refresh = None,
             _ = ticks.tick() => {}
             () = stop.cancelled(), if leader.pending_batch.is_none() => break,
         }
@@ -134,6 +143,10 @@
             log::warn!("leadership lost to a later leader: entry={} epoch={}", leadership.name, leadership.epoch.get());
             break;
         }
+        // What was read from the store counts before any start is sent.
+        while let Ok(event) = entry_events.try_recv() {
+            leader.handle_entry_event(event);
+        }
         for host in leader.scheduler.tick(entry.config.clock.moment()) {
             log::warn!("host lost because its lease has ended: host={host}");
         }
@@ -144,6 +157,11 @@
         if leader.pending_batch.is_none() {
             leader.append_next();
         }
+        leader.send_held_starts();
+        if refresh.is_none() && leader.waits_for_copies() {
+            let entry = entry.clone();
+            refresh = Some(Box::pin(async move { entry.refresh_for_starts().await }));
+        }
     }
     entry.set_leading(None);
     entry.config.metrics.leading.set(0);
@@ -225,6 +243,7 @@
             session_events,
             sequence: FIRST_SEQUENCE,
             pending_batch: None,
+            held_starts: HeldStarts::default(),
             pending_removals: Vec::new(),
             append_results,
             append_task: None,
@@ -325,6 +344,7 @@
             }
             SessionEvent::Closed { last_grant_at } => {
                 log::warn!("host disconnected: host={host}");
+                self.held_starts.drop_host(host);
                 return self.scheduler.host_disconnected(host, last_grant_at, now);
             }
             SessionEvent::Started(jobs) => return self.scheduler.jobs_started(&jobs, now),
@@ -425,40 +445,8 @@
         for effect in effects {
             let (host, order) = match effect {
                 Effect::Start { host, incarnation, task, run, spec, checkpoint, reported } => {
-                    let Some(step) = spec.steps.get(task.step as usize) else { continue };
-                    match self.scheduler.check_start(&host, incarnation, &task, run, reported) {
-                        StartCheck::Send => {}
-                        StartCheck::Stop => {
-                            log::info!(
-                                "start called off because the host takes no more starts: task={task} run={run} host={host}"
-                            );
-                            self.send_order(&host, ToAgent::Stop { task, run });
-                            continue;
-                        }
-                        StartCheck::Drop => {
-                            log::info!(
-                                "start dropped because the run is not assigned or the host has not reported its runs: \
-                                 task={task} run={run} host={host}"
-                            );
-                            continue;
-                        }
-                    }
-                    log::info!("run ordered: task={task} run={run} host={host}");
-                    self.entry.config.metrics.runs_ordered.inc();
-                    let start = Start {
-                        incarnation,
-                        task,
-                        run,
-                        payload: String::new(),
-                        checkpoint,
-                        cpu_milli: step.resources.cpu_milli,
-                        background: step.background,
-                        tail_target_ms: step.tail_target_ms,
-                        image: step.image.clone(),
-                        memory_mib: step.resources.memory_mib,
-                        accelerators: step.resources.accelerators,
-                    };
-                    self.send_order(&host, StartOfJob::new(start, spec));
+                    let start = StoredStart { host, incarnation, task, run, spec, checkpoint, reported };
+                    self.handle_stored_start(start);
                     continue;
                 }
                 Effect::Stop { host, task, run } => (host, ToAgent::Stop { task, run }),
--- a/crates/fleet/src/leader/reports.rs
+++ b/crates/fleet/src/leader/reports.rs
@@ -57,6 +57,7 @@
         metrics.reserving_steps.set(steps as i64);
         metrics.hosts_connected.set(self.scheduler.connected_hosts() as i64);
         metrics.departing_hosts.set(self.scheduler.departing_hosts() as i64);
+        metrics.held_starts.set(self.held_starts.len() as i64);
         metrics.unreported_runs.set(self.scheduler.unreported_runs() as i64);
     }
 }
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -134,6 +134,7 @@
     pub run_time_error_percent: Family<PredictionLabel, Gauge>,
     pub hosts_connected: Gauge,
     pub departing_hosts: Gauge,
+    pub held_starts: Gauge,
     pub unreported_runs: Gauge,
     pub config_version: Gauge,
     pub records_skipped: Counter,
@@ -185,6 +186,11 @@
             self.run_time_error_percent.clone(),
         );
         r.register("hosts_connected", "Hosts with a session of this leader", self.hosts_connected.clone());
+        r.register(
+            "held_starts",
+            "Starts that wait until the copies of the store are recent",
+            self.held_starts.clone(),
+        );
         r.register(
             "unreported_runs",
             "Runs on hosts that have a session but have not reported their runs in it",
--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -50,6 +50,8 @@
     pub late_reads_ms: Rc<Cell<u64>>,
     /// Whether calls fail without an effect.
     pub down: Rc<Cell<bool>>,
+    /// Whether reads fail, while appends are carried out.
+    pub unreadable: Rc<Cell<bool>>,
     /// Whether calls have no effect and are never answered.
     pub silent: Rc<Cell<bool>>,
     /// The number of next appends that take effect but whose answer is lost.
@@ -68,7 +70,13 @@
     /// Returns a clone that shares the records, as another process would see them, and has its own faults except
     /// `rival`.
     pub fn with_separate_faults(&self) -> Self {
-        Self { down: Rc::default(), silent: Rc::default(), lose_answers: Rc::default(), ..self.clone() }
+        Self {
+            down: Rc::default(),
+            unreadable: Rc::default(),
+            silent: Rc::default(),
+            lose_answers: Rc::default(),
+            ..self.clone()
+        }
     }
 
     /// All records of a stream, oldest first.
@@ -87,17 +95,27 @@
             std::future::pending::<()>().await;
         }
         sleep(Duration::from_millis(STORE_LATENCY_MS + self.slow_ms.get())).await;
-        if self.down.get() {
-            return Err(StoreError::NotDone("down".to_owned()));
-        }
-        Ok(())
+        self.check_served()
+    }
+
+    async fn simulate_read(&self) -> Result<(), StoreError> {
+        self.simulate_call().await?;
+        self.check_readable()
+    }
+
+    fn check_served(&self) -> Result<(), StoreError> {
+        if self.down.get() { Err(StoreError::NotDone("down".to_owned())) } else { Ok(()) }
+    }
+
+    fn check_readable(&self) -> Result<(), StoreError> {
+        if self.unreadable.get() { Err(StoreError::NotDone("unreadable".to_owned())) } else { self.check_served() }
     }
 }
 
 #[async_trait(?Send)]
 impl Store for MemoryStore {
     async fn newest(&self, stream: Stream) -> Result<Page, StoreError> {
-        self.simulate_call().await?;
+        self.simulate_read().await?;
         let records = self.records(stream);
         let next = records.len() as u64;
         let newest: BTreeMap<_, _> = records.into_iter().map(|record| (record.key.clone(), record)).collect();
@@ -107,7 +125,7 @@
     }
 
     async fn read(&self, stream: Stream, from: u64, wait_ms: u64) -> Result<Page, StoreError> {
-        self.simulate_call().await?;
+        self.simulate_read().await?;
         if self.stuck.get() == Some(stream) {
             self.stuck_reads.set(self.stuck_reads.get() + 1);
             return Ok(Page { records: Vec::new(), next: from, at_end: false });
@@ -122,6 +140,7 @@
             let waited = tokio::time::timeout(Duration::from_millis(wait_ms), waiting).await;
             // After a timeout the answer has no records.
             drop(waited);
+            self.check_readable()?;
         }
         if self.expire.get() == Some(stream) {
             self.expire.set(None);
