Let orders to start expire with the copies of their leader

What callers would see: a task starts over cancel_ms after the cancellation of its job was acknowledged, though the leader has sent the start in time.

Cause: a leader may send a start 1 s after its copy of the jobs was complete, and an agent repeated an order for 2.5 s after its arrival. If the leader cannot read the cancellation, no stop follows, and the task starts up to 3.5 s after the answer to the client; the way of the order comes on top.

Change: an order carries its expiry on the agent's clock, which the leader knows from the latest request for a grant. It sends no order in a session before the first one. The agent withdraws an expired order, as it does one that is 2.5 s old. The field is the last one of the message, so that earlier versions ignore it or leave it out.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -95,6 +95,18 @@
     expires_at: TimeMs,
 }
 
+impl Validity {
+    /// A validity that ends at `expires_at` at the latest, if that is given.
+    fn limited_to(self, expires_at: Option<TimeMs>) -> Self {
+        Self { expires_at: expires_at.map_or(self.expires_at, |at| at.min(self.expires_at)), ..self }
+    }
+
+    /// The validity of an order that is given again, which does not end sooner by that.
+    fn extending(self, earlier: Self) -> Self {
+        Self { expires_at: self.expires_at.max(earlier.expires_at), ..self }
+    }
+}
+
 struct State {
     clock: Clock,
     token: u64,
--- a/crates/fleet/src/agent/starts.rs
+++ b/crates/fleet/src/agent/starts.rs
@@ -55,9 +55,9 @@
         if status == RunStatus::Ended {
             return;
         }
-        let validity = state.order_validity(self.clock.now());
+        let validity = state.order_validity(self.clock.now()).limited_to(start.expires_at_ms.map(TimeMs));
         if let Some(order) = state.current.orders.get_mut(&start.task).filter(|order| order.run == start.run) {
-            order.validity = validity;
+            order.validity = validity.extending(order.validity);
             return;
         }
         if status == RunStatus::Absent && (state.shutting_down || state.is_leaving()) {
--- a/crates/fleet/src/entry/views.rs
+++ b/crates/fleet/src/entry/views.rs
@@ -82,6 +82,14 @@
         START_STREAMS.iter().all(|stream| state.views.allows_starts(&self.config.plan, *stream, now))
     }
 
+    /// Until when a start may be sent to its endpoint that is based on the present copies of the store.
+    pub(crate) fn start_deadline(&self) -> TimeMs {
+        let state = self.state.borrow();
+        let deadline = |stream| state.views.complete_at(stream).plus_ms(start_validity_ms(&self.config.plan, stream));
+        let [jobs, operator] = START_STREAMS.map(deadline);
+        jobs.min(operator)
+    }
+
     /// Reads the store until [`Self::allows_starts`].
     pub(crate) async fn refresh_for_starts(&self) {
         let [jobs, operator] = START_STREAMS;
--- a/crates/fleet/src/leader/starts.rs
+++ b/crates/fleet/src/leader/starts.rs
@@ -120,7 +120,8 @@
             image: step.image.clone(),
             memory_mib: step.resources.memory_mib,
             accelerators: step.resources.accelerators,
+            expires_at_ms: None,
         };
-        self.send_order(&host, StartOfJob::new(start, spec));
+        self.send_order(&host, StartOfJob::new(start, spec, self.entry.start_deadline()));
     }
 }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -88,6 +88,10 @@
         /// The accelerators that the task requests.
         #[serde(deserialize_with = "fescuelead_core::trailing::or_default")]
         pub accelerators: u32,
+        /// When the order expires, in milliseconds on the agent's clock: what the leader has read from the store is too old then.
+        /// `None` if the leader is of an earlier version, which does not send this field.
+        #[serde(deserialize_with = "fescuelead_core::trailing::or_default")]
+        pub expires_at_ms: Option<u64>,
     }
 
     /// A message from an agent to the leader.
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -134,17 +134,36 @@
     Start(StartOfJob),
 }
 
-/// A start whose payload is that of its job.
+/// A start whose payload is that of its job, and whose expiry is not yet on the agent's clock.
 #[derive(Debug)]
 pub(crate) struct StartOfJob {
     start: Start,
     spec: Arc<JobSpec>,
+    /// When the order expires on the leader's clock.
+    expires_at: TimeMs,
 }
 
 impl StartOfJob {
-    /// Creates an order from a start without payload and its job.
-    pub(crate) fn new(start: Start, spec: Arc<JobSpec>) -> Self {
-        Self { start, spec }
+    /// Creates an order from a start without payload and without expiry.
+    pub(crate) fn new(start: Start, spec: Arc<JobSpec>, expires_at: TimeMs) -> Self {
+        Self { start, spec, expires_at }
+    }
+}
+
+/// A reading of the agent's clock, from its request for a grant.
+#[derive(Debug, Clone, Copy)]
+struct AgentClock {
+    /// What the agent's clock read when the request was sent, in milliseconds.
+    asked_ms: u64,
+    /// When the request was received, on the leader's clock.
+    received_at: TimeMs,
+}
+
+impl AgentClock {
+    /// What the agent's clock reads at `at` on the leader's clock, or less by the time that the request was under way, in
+    /// milliseconds.
+    fn at(&self, at: TimeMs) -> u64 {
+        (self.asked_ms + at.since_ms(self.received_at)).saturating_sub(self.received_at.since_ms(at))
     }
 }
 
@@ -170,11 +189,16 @@
     }
 }
 
-impl From<Order> for ToAgent {
-    fn from(order: Order) -> Self {
-        match order {
-            Order::Message(message) => message,
-            Order::Start(StartOfJob { start, spec }) => Self::Start(Start { payload: spec.payload.clone(), ..start }),
+impl Order {
+    /// The message to an agent with this clock.
+    fn into_message(self, clock: AgentClock) -> ToAgent {
+        match self {
+            Self::Message(message) => message,
+            Self::Start(StartOfJob { start, spec, expires_at }) => ToAgent::Start(Start {
+                payload: spec.payload.clone(),
+                expires_at_ms: Some(clock.at(expires_at)),
+                ..start
+            }),
         }
     }
 }
@@ -290,6 +314,8 @@
     });
     let mut last_received = Instant::now();
     let mut is_suspected = false;
+    // Orders wait for the first request, which an agent sends at once.
+    let mut agent_clock = None;
     loop {
         let (mut messages, mut payload_bytes) = (Vec::new(), 0);
         let idle_until = last_received + Duration::from_millis(SESSION_TIMEOUT_MS);
@@ -306,6 +332,7 @@
                         break;
                     }
                     Some(ToLeader::Ask { asked_ms, started, suspicion, progress }) => {
+                        agent_clock = Some(AgentClock { asked_ms, received_at: leadership.clock.now() });
                         let mut grant_ms = 0;
                         if leadership.holds() {
                             grant_ms = leadership.plan.grant_ms;
@@ -329,18 +356,19 @@
                     }
                 }
             }
-            order = orders.recv() => {
-                let Some(order) = order else { break };
+            order = orders.recv(), if agent_clock.is_some() => {
+                let (Some(order), Some(clock)) = (order, agent_clock) else { break };
                 payload_bytes += order.payload_bytes();
-                messages.push(order.into());
+                messages.push(order.into_message(clock));
             }
             () = sleep_until(idle_until) => break,
         }
         while payload_bytes < MAX_SENT_PAYLOAD_BYTES
+            && let Some(clock) = agent_clock
             && let Ok(order) = orders.try_recv()
         {
             payload_bytes += order.payload_bytes();
-            messages.push(order.into());
+            messages.push(order.into_message(clock));
         }
         if !messages.is_empty() && send(&mut writer, &messages).await.is_err() {
             break;
--- a/crates/fleet/tests/outdated_copies.rs
+++ b/crates/fleet/tests/outdated_copies.rs
@@ -25,7 +25,7 @@
     io::copy_bidirectional,
     net::{TcpListener, TcpStream},
     task::{JoinHandle, JoinSet, LocalSet, spawn_local},
-    time::{Instant, sleep},
+    time::{Instant, sleep, sleep_until},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -302,6 +302,37 @@
     .await;
 }
 
+/// Guards against a start long after the cancellation of its job was acknowledged, though no process decided late: the leader sent
+/// the order shortly after its latest read, and the agent repeated it while the endpoint could not carry it out.
+#[tokio::test]
+async fn an_order_expires_with_the_copies_that_it_is_based_on() {
+    run_local(async {
+        let fleet = Fleet::start().await;
+        fleet.submit(JOB).await;
+        wait_until("the first step starts", || fleet.has_started(FIRST_TASK)).await;
+        // The leader reads the operators' records when there is one and again when it has waited in vain, and the jobs when it is
+        // asked for one that it does not know.
+        fleet.shared.put(Stream::Operator, Record::new("config", vec![1]));
+        wait(1_600).await;
+        assert_eq!(fleet.leader.entry.status(JobId(99)).await, Ok(None));
+        let read_at = Instant::now();
+        fleet.leader.store.unreadable.set(true);
+        assert_eq!(fleet.other.entry.cancel(JOB, fleet.deadline()).await, Ok(true));
+        let cancelled_at = Instant::now();
+        fleet.endpoint.misdirect_starts.set(u32::MAX);
+        sleep_until(read_at + Duration::from_millis(800)).await;
+        fleet.endpoint.end(FIRST_TASK, RunOutcome::Done);
+        wait_until("the order reaches the endpoint", || fleet.endpoint.misdirect_starts.get() < u32::MAX).await;
+        sleep_until(cancelled_at + Duration::from_millis(CANCEL_MS + 50)).await;
+        fleet.endpoint.misdirect_starts.set(0);
+        wait(WATCH_MS).await;
+        assert!(!fleet.has_started(SECOND_TASK), "started over {CANCEL_MS} ms after the cancellation");
+        fleet.leader.store.unreadable.set(false);
+        fleet.assert_serves().await;
+    })
+    .await;
+}
+
 /// Guards against starts that wait for a copy that never becomes recent: the store answers slowly, but it does answer.
 #[tokio::test]
 async fn a_leader_of_a_slow_store_starts_tasks() {
--- a/crates/fleet/tests/starts.rs
+++ b/crates/fleet/tests/starts.rs
@@ -6,10 +6,14 @@
 use std::rc::Rc;
 
 use fescuelead_core::jobs::HostInfo;
-use fescuelead_fleet::{agent::Agent, message::ToLeader};
+use fescuelead_fleet::{
+    agent::Agent,
+    message::{Start, ToAgent, ToLeader},
+};
+use rstest::rstest;
 use support::{
     MemoryEndpoint,
-    session::{GRANT_MS, Leader, TASK, info, run_local, start_agent, start_agent_without_announcement},
+    session::{GRANT_MS, Leader, TASK, info, run_local, start_agent, start_agent_without_announcement, start_order},
 };
 
 /// How long an endpoint is mute before orders are held back, in milliseconds: a report call in flight is still answered.
@@ -234,3 +238,50 @@
     })
     .await;
 }
+
+/// Orders the start of run 1 of [`TASK`]. The order expires at `expires_at_ms` on the agent's clock.
+async fn start_until(leader: &mut Leader, expires_at_ms: u64) {
+    leader.send(ToAgent::Start(Start { expires_at_ms: Some(expires_at_ms), ..start_order(TASK, 1) })).await;
+}
+
+/// Guards against the start of a task whose job was cancelled seconds before: the order was under way for so long that the leader
+/// may have missed that.
+#[tokio::test(start_paused = true)]
+async fn an_order_that_arrives_after_its_expiry_is_rejected() {
+    run_local(async {
+        let (endpoint, _agent, mut leader) = open_session().await;
+        let before_the_latest_request_ms = leader.asked_ms - 100;
+        start_until(&mut leader, before_the_latest_request_ms).await;
+        let received = leader.receive_for(200).await;
+        assert!(rejected(&received, 1), "{received:?}");
+        assert!(endpoint.started.borrow().is_empty());
+    })
+    .await;
+}
+
+/// Guards against an order that expires too early or too late: a leader that describes a run again may have older or newer copies of
+/// the store than when it gave the order.
+#[rstest]
+#[case::with_older_copies(&[1_500, 100], 1_000, true)]
+#[case::with_newer_copies(&[500, 1_500], 1_000, true)]
+#[case::once(&[500], 1_000, false)]
+#[tokio::test(start_paused = true)]
+async fn an_order_is_valid_until_its_latest_expiry(
+    #[case] expiries_in_ms: &[u64],
+    #[case] carried_out_after_ms: u64,
+    #[case] starts: bool,
+) {
+    run_local(async {
+        let (endpoint, _agent, mut leader) = open_session().await;
+        endpoint.misdirect_starts.set(u32::MAX);
+        let asked_ms = leader.asked_ms;
+        for expires_in_ms in expiries_in_ms {
+            start_until(&mut leader, asked_ms + expires_in_ms).await;
+        }
+        leader.receive_for(carried_out_after_ms).await;
+        endpoint.misdirect_starts.set(0);
+        leader.receive_for(200).await;
+        assert_eq!(endpoint.is_running(TASK, 1), starts);
+    })
+    .await;
+}
--- a/crates/fleet/tests/support/session.rs
+++ b/crates/fleet/tests/support/session.rs
@@ -34,6 +34,8 @@
     pub grants: bool,
     /// How long granted leases last, in milliseconds.
     pub grant_ms: u64,
+    /// When the latest request for a grant was sent, in milliseconds on the agent's clock.
+    pub asked_ms: u64,
     /// What the latest request for a grant suspects.
     pub suspicion: Option<Suspicion>,
     /// All progress that requests for grants have stated.
@@ -51,6 +53,7 @@
             writer,
             grants: true,
             grant_ms: GRANT_MS,
+            asked_ms: 0,
             suspicion: None,
             progress: Vec::new(),
         };
@@ -85,6 +88,7 @@
         while let Ok(Ok(message)) = tokio::time::timeout_at(until, message::read::<ToLeader>(&mut self.reader)).await {
             match message {
                 ToLeader::Ask { asked_ms, suspicion, progress, .. } => {
+                    self.asked_ms = asked_ms;
                     self.suspicion = suspicion;
                     self.progress.extend(progress);
                     let grant_ms = if self.grants { self.grant_ms } else { 0 };
@@ -113,6 +117,7 @@
         image: None,
         memory_mib: 0,
         accelerators: 0,
+        expires_at_ms: None,
     }
 }
 
--- a/crates/fleet/tests/versions.rs
+++ b/crates/fleet/tests/versions.rs
@@ -87,11 +87,15 @@
         image: Some("web".to_owned()),
         memory_mib: 0,
         accelerators: 0,
+        expires_at_ms: None,
     });
     let mut frame = message::encode(std::slice::from_ref(&start)).expect("a frame");
-    assert_eq!(frame.split_off(frame.len() - 2), [0, 0], "the new fields are the last bytes");
-    frame[3] -= 2;
-    assert_eq!(message::read::<ToAgent>(&mut frame.as_slice()).await.expect("a message"), start);
+    // Earlier versions did not send the time of expiry, and those before them no memory and accelerators.
+    for _ in 0..3 {
+        assert_eq!(frame.pop(), Some(0), "the new fields are the last bytes");
+        frame[3] -= 1;
+        assert_eq!(message::read::<ToAgent>(&mut frame.as_slice()).await.expect("a message"), start);
+    }
 }
 
 /// Guards against entries of different versions that cannot read each other's records, and so run tasks again.
