Remove cancellations only after reading up to their deadline

What callers would see: a cancelled job runs.

Cause: a cancellation for which no job is known is removed from the store by the leader after 60 s, by its clock. A leader that could not read when the job was submitted late removes the cancellation of a submitted job; an entry that starts after that reads the submission alone.

Change: the deadline is compared with the time at which the leader's copy of the jobs was last complete.

Evidence: a_leader_that_cannot_read_removes_no_cancellation failed before ("left: Ok(Some(Queued)), right: Ok(Some(Cancelled))") and passes in 3 of 3 runs of the file now.

--- a/crates/fleet/src/entry/cancellations.rs
+++ b/crates/fleet/src/entry/cancellations.rs
@@ -6,7 +6,8 @@
 it to a submission that arrives afterwards.
 
 The record is removed once no submission can arrive any more. Each entry keeps the deadline of each such record. The
-leader removes it from the store, and an entry forgets it once it has read the removal and its own deadline has passed.
+leader removes it from the store once it has read all submissions up to the deadline, and an entry forgets it once it has
+read the removal and its own deadline has passed.
 */
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
@@ -82,9 +83,10 @@
         self.by_job.extract_if(.., |_, early| ended(early)).map(|(job, _)| job).collect()
     }
 
-    /// The cancellations whose retention has ended and whose records are in the store.
-    fn removable(&self, now: TimeMs) -> impl Iterator<Item = JobId> {
-        let is_removable = move |early: &EarlyCancellation| !early.removed && early.kept_until <= now;
+    /// The cancellations whose retention had ended at `complete_at`, when all records of the store were known here, and whose
+    /// own records are in the store. A submission that took effect within the retention is known then.
+    fn removable(&self, complete_at: TimeMs) -> impl Iterator<Item = JobId> {
+        let is_removable = move |early: &EarlyCancellation| !early.removed && early.kept_until <= complete_at;
         self.by_job.iter().filter(move |(_, early)| is_removable(early)).map(|(&job, _)| job)
     }
 }
@@ -149,9 +151,10 @@
                     }
                 }
                 self.config.metrics.early_cancellations.set(state.early_cancellations.by_job.len() as i64);
+                let complete_at = state.views.complete_at(Stream::Jobs);
                 state
                     .early_cancellations
-                    .removable(now)
+                    .removable(complete_at)
                     .take(MAX_REMOVALS)
                     .map(JobRecord::cancellation_removed)
                     .collect()
--- a/crates/fleet/tests/cancellations.rs
+++ b/crates/fleet/tests/cancellations.rs
@@ -242,6 +242,25 @@
     .await;
 }
 
+/// Guards against a job that runs although its cancellation was acknowledged: it was submitted late, and a leader that could not read
+/// that removed the record of the cancellation, so that an entry that was started later did not know of it.
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_cannot_read_removes_no_cancellation() {
+    run_local(async {
+        let mut cell = Cell::start().await;
+        assert_eq!(cell.cancel(1, JOB).await, Ok(false));
+        wait(KEPT_MS - 1_000).await;
+        cell.store.unreadable.set(true);
+        cell.store.put(Stream::Jobs, JobRecord::submitted(JOB, &spec()).expect("a record"));
+        wait(4_000).await;
+        cell.store.unreadable.set(false);
+        cell.add_entry("c");
+        wait(100).await;
+        assert_eq!(cell.entries[2].status(JOB).await, Ok(Some(JobStatus::Cancelled)));
+    })
+    .await;
+}
+
 /// Guards against memory that grows with the cancellations of jobs that were never submitted: beyond a limit they are
 /// refused as not carried out until earlier ones are removed.
 #[tokio::test(start_paused = true)]
