Explore schedules in which processes are cut off at different times

The starts after unread changes went unnoticed because no test let processes lose the store at different times. tests/cut_off_explorer.rs plays three entries and three agents of the product in virtual time: each entry loses the store, or its reads, appends or answers, and each agent its leaders, while clients submit and cancel jobs and operators take availability zones out. The bounds are judged by what was acknowledged and by what endpoints start; two runs of a task at a time and jobs that do not end count as well.

--- a/crates/fleet/tests/support.rs
+++ b/crates/fleet/tests/support.rs
@@ -22,12 +22,18 @@
 
 #[path = "support/session.rs"] // This file is also built as a test of its own, where the default path differs.
 pub mod session;
+#[path = "support/site.rs"]
+pub mod site;
 
 /// The number of ended runs that an endpoint lists at a time.
 pub const MAX_LISTED_ENDS: usize = 500;
 /// The latency of a call to the store, in milliseconds, as the platform states it.
 const STORE_LATENCY_MS: u64 = 4;
 
+/// How long a read waits for its answer beyond the wait that it asks for, in milliseconds: implementations of the store have
+/// timeouts of their own.
+const READ_TIMEOUT_MS: u64 = 2_000;
+
 #[derive(Default)]
 struct Log {
     streams: BTreeMap<Stream, Vec<Record>>,
@@ -52,6 +58,8 @@
     pub down: Rc<Cell<bool>>,
     /// Whether reads fail, while appends are carried out.
     pub unreadable: Rc<Cell<bool>>,
+    /// Whether appends fail without an effect, while reads are answered.
+    pub unwritable: Rc<Cell<bool>>,
     /// Whether calls have no effect and are never answered.
     pub silent: Rc<Cell<bool>>,
     /// The number of next appends that take effect but whose answer is lost.
@@ -73,6 +81,7 @@
         Self {
             down: Rc::default(),
             unreadable: Rc::default(),
+            unwritable: Rc::default(),
             silent: Rc::default(),
             lose_answers: Rc::default(),
             ..self.clone()
@@ -98,8 +107,10 @@
         self.check_served()
     }
 
-    async fn simulate_read(&self) -> Result<(), StoreError> {
-        self.simulate_call().await?;
+    async fn simulate_read(&self, wait_ms: u64) -> Result<(), StoreError> {
+        let timeout = Duration::from_millis(wait_ms + READ_TIMEOUT_MS);
+        let served = tokio::time::timeout(timeout, self.simulate_call()).await;
+        served.map_err(|_| StoreError::Unknown("no answer in time".to_owned()))??;
         self.check_readable()
     }
 
@@ -115,7 +126,7 @@
 #[async_trait(?Send)]
 impl Store for MemoryStore {
     async fn newest(&self, stream: Stream) -> Result<Page, StoreError> {
-        self.simulate_read().await?;
+        self.simulate_read(0).await?;
         let records = self.records(stream);
         let next = records.len() as u64;
         let newest: BTreeMap<_, _> = records.into_iter().map(|record| (record.key.clone(), record)).collect();
@@ -125,7 +136,7 @@
     }
 
     async fn read(&self, stream: Stream, from: u64, wait_ms: u64) -> Result<Page, StoreError> {
-        self.simulate_read().await?;
+        self.simulate_read(wait_ms).await?;
         if self.stuck.get() == Some(stream) {
             self.stuck_reads.set(self.stuck_reads.get() + 1);
             return Ok(Page { records: Vec::new(), next: from, at_end: false });
@@ -156,6 +167,9 @@
 
     async fn append(&self, stream: Stream, records: &[Record], mark: Option<LeaderMark>) -> Result<u64, StoreError> {
         self.simulate_call().await?;
+        if self.unwritable.get() {
+            return Err(StoreError::NotDone("unwritable".to_owned()));
+        }
         if records.iter().any(|record| record.size_bytes() > self.max_record_bytes()) {
             return Err(StoreError::NotDone("a record is too large".to_owned()));
         }
@@ -313,6 +327,11 @@
         }
     }
 
+    /// All tasks that are running.
+    pub fn running(&self) -> Vec<TaskRef> {
+        self.state.borrow().runs.keys().copied().collect()
+    }
+
     /// Whether a run is running.
     pub fn is_running(&self, task: TaskRef, run: u32) -> bool {
         self.state.borrow().runs.get(&task) == Some(&run)
